--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint bench clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/snipemount demo
+
+test: $(VENV)/.installed
+	mkdir -p out
+	$(BIN)/python -m behave --no-capture --format progress --outfile /dev/stdout \
+		--format json --outfile out/behave.json tests
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check src tests benchmarks
+	$(BIN)/ruff check src tests benchmarks
+	$(BIN)/mypy
+
+bench: $(VENV)/.installed
+	$(BIN)/python benchmarks/leg_cost.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/snipemount/__init__.py
@@ -0,0 +1,7 @@
+"""A query tier between callers and very many sharded backend servers."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/src/snipemount/decisions/connections.py
@@ -0,0 +1,196 @@
+"""The connections to one backend server, counted and verified."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PING_AFTER_IDLE_MS = 1000.0
+PING_TIMEOUT_MS = 100.0
+
+
+class ConnectionState(IntEnum):
+    """State of one connection."""
+
+    OPENING = 0
+    IDLE = 1
+    BUSY = 2
+    PINGING = 3
+
+
+@attrs.define(eq=False)
+class Connection:
+    """One connection to a backend server.
+
+    Parameters
+    ----------
+    connection_id : int
+        Unique in the daemon.
+    state : ConnectionState
+        What it is doing.
+    since_ms : float
+        When it entered that state.
+    """
+
+    connection_id: int
+    state: ConnectionState
+    since_ms: float
+
+
+@attrs.frozen
+class OpenConnection:
+    """Open a connection to a server."""
+
+    server: str
+    connection_id: int
+
+
+@attrs.frozen
+class CloseConnection:
+    """Close a connection; whatever it still carries is dropped."""
+
+    server: str
+    connection_id: int
+
+
+@attrs.frozen
+class PingConnection:
+    """Ask the server for a sign of life on this very connection."""
+
+    server: str
+    connection_id: int
+
+
+ConnectionAction = OpenConnection | CloseConnection | PingConnection
+
+
+class ConnectionPool:
+    """Warm connections to one server, never more than `limit`.
+
+    A connection that timed out, broke or crossed is closed and not reused. One
+    timeout puts every idle connection in doubt: each has to answer a ping
+    first, and fresh ones are opened meanwhile.
+
+    Parameters
+    ----------
+    server : str
+        Backend server's name.
+    limit : int
+        Connections that this daemon may hold.
+    warm : int
+        Connections kept open while idle.
+    ids : Iterator of int
+        Source of connection ids, unique in the daemon.
+    """
+
+    def __init__(self, server: str, limit: int, warm: int, ids: Iterator[int]) -> None:
+        self._server = server
+        self._limit = limit
+        self._warm = min(warm, limit)
+        self._ids = ids
+        self._connections: dict[int, Connection] = {}
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def has(self, connection_id: int) -> bool:
+        """Return whether the pool still holds this connection."""
+        return connection_id in self._connections
+
+    def set_limit(self, limit: int, now_ms: float) -> list[ConnectionAction]:
+        """Change the limit; idle connections above it are closed."""
+        self._limit = limit
+        surplus = len(self._connections) - limit
+        idle = [c for c in self._connections.values() if self._is_idle(c)]
+        return [self.close(c.connection_id) for c in idle[: max(0, surplus)]]
+
+    def take(self, now_ms: float) -> int | None:
+        """Mark the idle connection used last as busy and return its id."""
+        idle = [c for c in self._connections.values() if self._is_idle(c)]
+        if not idle:
+            return None
+        chosen = max(idle, key=lambda c: (c.since_ms, c.connection_id))
+        self._enter(chosen, ConnectionState.BUSY, now_ms)
+        return chosen.connection_id
+
+    def give_back(self, connection_id: int, now_ms: float) -> None:
+        """Make a connection idle after a whole answer or a good ping."""
+        connection = self._connections.get(connection_id)
+        if connection is not None:
+            self._enter(connection, ConnectionState.IDLE, now_ms)
+
+    def close(self, connection_id: int) -> ConnectionAction:
+        """Forget a connection and have it closed."""
+        self._connections.pop(connection_id, None)
+        return CloseConnection(self._server, connection_id)
+
+    def close_all(self) -> list[ConnectionAction]:
+        """Forget every connection and have them closed."""
+        return [self.close(connection_id) for connection_id in list(self._connections)]
+
+    def doubt(self, now_ms: float) -> list[ConnectionAction]:
+        """Ping every idle connection before any of them is used again."""
+        idle = [c for c in self._connections.values() if self._is_idle(c)]
+        return [self._ping(connection, now_ms) for connection in idle]
+
+    def open_for(self, wanted: int, now_ms: float) -> list[ConnectionAction]:
+        """Open what `wanted` waiting exchanges and the warm stock need."""
+        opening = self._count(ConnectionState.OPENING)
+        idle = self._count(ConnectionState.IDLE)
+        room = self._limit - len(self._connections)
+        needed = max(wanted - opening, self._warm - len(self._connections), 0)
+        if wanted <= opening + idle and len(self._connections) >= self._warm:
+            needed = 0
+        return [self._open(now_ms) for _ in range(min(needed, max(0, room)))]
+
+    def tick(self, now_ms: float) -> list[ConnectionAction]:
+        """Close what does not answer a ping; ping what has long been idle."""
+        actions: list[ConnectionAction] = []
+        for connection in list(self._connections.values()):
+            age_ms = now_ms - connection.since_ms
+            waiting = connection.state in (
+                ConnectionState.PINGING,
+                ConnectionState.OPENING,
+            )
+            if waiting and age_ms > PING_TIMEOUT_MS:
+                actions.append(self.close(connection.connection_id))
+            elif self._is_idle(connection) and age_ms > PING_AFTER_IDLE_MS:
+                actions.append(self._ping(connection, now_ms))
+        return actions
+
+    def _open(self, now_ms: float) -> ConnectionAction:
+        connection = Connection(next(self._ids), ConnectionState.OPENING, now_ms)
+        self._connections[connection.connection_id] = connection
+        return OpenConnection(self._server, connection.connection_id)
+
+    def _ping(self, connection: Connection, now_ms: float) -> ConnectionAction:
+        self._enter(connection, ConnectionState.PINGING, now_ms)
+        return PingConnection(self._server, connection.connection_id)
+
+    def _count(self, state: ConnectionState) -> int:
+        return sum(c.state is state for c in self._connections.values())
+
+    @staticmethod
+    def _enter(connection: Connection, state: ConnectionState, now_ms: float) -> None:
+        connection.state = state
+        connection.since_ms = now_ms
+
+    @staticmethod
+    def _is_idle(connection: Connection) -> bool:
+        return connection.state is ConnectionState.IDLE
+
+
+__all__ = [
+    "CloseConnection",
+    "Connection",
+    "ConnectionAction",
+    "ConnectionPool",
+    "ConnectionState",
+    "OpenConnection",
+    "PingConnection",
+]
--- /dev/null
+++ b/src/snipemount/decisions/extra_load.py
@@ -0,0 +1,50 @@
+"""One budget for hedges and retries of a service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..model.profile import ExtraLoadLimits
+
+FAULT_MEMORY_MS = 3000.0
+INITIAL_TOKENS = 2.0
+
+
+class ExtraLoadBudget:
+    """Token bucket that first attempts fill and extra attempts drain.
+
+    Parameters
+    ----------
+    limits : ExtraLoadLimits
+        Fractions and burst.
+    """
+
+    def __init__(self, limits: ExtraLoadLimits) -> None:
+        self._limits = limits
+        self._tokens = min(INITIAL_TOKENS, limits.burst)
+        self._faulty_until_ms = -1.0
+        self.first_attempts = 0
+        self.extra_attempts = 0
+
+    def earn(self, exchanges: int, now_ms: float) -> None:
+        """Count first attempts; each earns a fraction of an extra one."""
+        self.first_attempts += exchanges
+        faulty = now_ms < self._faulty_until_ms
+        fraction = self._limits.faulty if faulty else self._limits.ordinary
+        self._tokens = min(self._limits.burst, self._tokens + exchanges * fraction)
+
+    def note_fault(self, now_ms: float) -> None:
+        """Earn at the higher rate for a while after a server failed."""
+        self._faulty_until_ms = now_ms + FAULT_MEMORY_MS
+
+    def take(self, exchanges: int = 1) -> bool:
+        """Spend tokens for extra attempts; False when there are too few."""
+        if self._tokens < exchanges:
+            return False
+        self._tokens -= exchanges
+        self.extra_attempts += exchanges
+        return True
+
+
+__all__ = ["ExtraLoadBudget"]
--- /dev/null
+++ b/src/snipemount/decisions/merge.py
@@ -0,0 +1,112 @@
+"""Merge of partial answers from one snapshot, and its coverage."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from ..model.answer import Coverage, MissingShard
+from ..model.exchange import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..model.exchange import Hit, Partial
+
+
+class Verdict(IntEnum):
+    """What the merge did with a partial answer."""
+
+    MERGED = 0
+    DUPLICATE = 1
+    WRONG_SNAPSHOT = 2
+    UNKNOWN_SHARD = 3
+    MALFORMED = 4
+
+
+class Merge:
+    """Partial answers of one query; refuses any of another snapshot.
+
+    Parameters
+    ----------
+    snapshot : str
+        Token of the pinned snapshot.
+    shards : Iterable of int
+        Shards that the request has to ask.
+    top_k : int
+        Hits wanted.
+    """
+
+    def __init__(self, snapshot: str, shards: Iterable[int], top_k: int) -> None:
+        self._snapshot = snapshot
+        self._top_k = top_k
+        self._reasons: dict[int, Reason] = dict.fromkeys(shards, Reason.DEADLINE)
+        self._partials: dict[int, Partial] = {}
+        self._answered = 0
+
+    @property
+    def answered_any(self) -> bool:
+        """Whether any shard has answered, in full or in part."""
+        return bool(self._partials)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every shard has answered in full."""
+        return self._answered == len(self._reasons)
+
+    def add(self, partial: Partial) -> Verdict:
+        """Merge one partial answer, or say why it was left out."""
+        if partial.shard not in self._reasons:
+            return Verdict.UNKNOWN_SHARD
+        if partial.snapshot != self._snapshot:
+            return Verdict.WRONG_SNAPSHOT
+        if not self._well_formed(partial):
+            return Verdict.MALFORMED
+        known = self._partials.get(partial.shard)
+        if known is not None and (known.complete or not partial.complete):
+            return Verdict.DUPLICATE
+        self._partials[partial.shard] = partial
+        self._answered += partial.complete
+        return Verdict.MERGED
+
+    def note_failure(self, shard: int, reason: Reason) -> None:
+        """Keep the latest reason why `shard` has not answered."""
+        if shard in self._reasons:
+            self._reasons[shard] = reason
+
+    def is_answered(self, shard: int) -> bool:
+        """Return whether `shard` has answered in full."""
+        partial = self._partials.get(shard)
+        return partial is not None and partial.complete
+
+    def unanswered(self) -> tuple[int, ...]:
+        """Return the shards that have not answered in full."""
+        return tuple(shard for shard in self._reasons if not self.is_answered(shard))
+
+    def coverage(self) -> Coverage:
+        """Return the coverage as of now."""
+        missing = tuple(self._missing(shard) for shard in self.unanswered())
+        return Coverage(len(self._reasons), self._answered, missing)
+
+    def hits(self) -> tuple[Hit, ...]:
+        """Return the best hits over all merged partial answers."""
+        merged = (hit for partial in self._partials.values() for hit in partial.hits)
+        best = heapq.nsmallest(
+            self._top_k, merged, key=lambda hit: (-hit.score, hit.document)
+        )
+        return tuple(best)
+
+    def _missing(self, shard: int) -> MissingShard:
+        partial = shard in self._partials
+        reason = Reason.NONE if partial else self._reasons[shard]
+        return MissingShard(shard, reason, partial)
+
+    def _well_formed(self, partial: Partial) -> bool:
+        if len(partial.hits) > self._top_k:
+            return False
+        return all(math.isfinite(hit.score) for hit in partial.hits)
+
+
+__all__ = ["Merge", "Verdict"]
--- /dev/null
+++ b/src/snipemount/decisions/service_state.py
@@ -0,0 +1,90 @@
+"""State that all queries of one service share at an entry daemon."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ..model.exchange import Fate
+from .admission import Admission
+from .extra_load import ExtraLoadBudget
+from .fleet_view import FAILURE_REASONS, FleetView
+from .placement import Placer
+from .quantile import QuantileEstimate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+    from ..model.exchange import ExchangeReply
+    from ..model.profile import Profile
+
+INITIAL_HEDGE_DELAY_MS = 60.0
+INITIAL_MEDIAN_MS = 20.0
+LEAST_HEDGE_DELAY_MS = 2.0
+STRAGGLER_RATIO = 4.0
+STRAGGLER_SMOOTHING = 0.002
+FAULTY_STRAGGLER_RATE = 0.03
+
+
+class ServiceState:
+    """Load, health, budgets and latencies of a service's servers.
+
+    Parameters
+    ----------
+    profile : Profile
+        Profile in force.
+    zone : str
+        Availability zone of the daemon.
+    exchange_ids : Iterator of int
+        Source of exchange ids.
+    random : Random
+        Seeded generator that breaks ties.
+    """
+
+    def __init__(
+        self,
+        profile: Profile,
+        zone: str,
+        exchange_ids: Iterator[int],
+        random: Random,
+    ) -> None:
+        self.profile = profile
+        self.exchange_ids = exchange_ids
+        self.fleet = FleetView()
+        self.placer = Placer(zone, self.fleet, random)
+        self.budget = ExtraLoadBudget(profile.extra_load)
+        self.admission = Admission(profile.queue)
+        self._slow = QuantileEstimate(profile.hedge_quantile, INITIAL_HEDGE_DELAY_MS)
+        self._median = QuantileEstimate(0.5, INITIAL_MEDIAN_MS)
+        self._straggler_rate = 0.0
+
+    @property
+    def hedge_delay_ms(self) -> float:
+        """Time after which an exchange counts as slow."""
+        return max(LEAST_HEDGE_DELAY_MS, self._slow.value_ms)
+
+    def observe(
+        self, sent_ms: float, hedged: bool, reply: ExchangeReply, now_ms: float
+    ) -> None:
+        """Learn from the end of an exchange."""
+        self.fleet.note_reply(reply, now_ms)
+        if reply.reason in FAILURE_REASONS:
+            self.budget.note_fault(now_ms)
+        if reply.fate is Fate.ANSWERED and not hedged:
+            self._observe_latency(now_ms - sent_ms, now_ms)
+
+    def observe_slow(self, now_ms: float) -> None:
+        """Learn that an exchange outlasted the hedge delay."""
+        self._observe_latency(math.inf, now_ms)
+
+    def _observe_latency(self, latency_ms: float, now_ms: float) -> None:
+        self._slow.add(latency_ms)
+        self._median.add(latency_ms)
+        straggled = latency_ms > STRAGGLER_RATIO * self._median.value_ms
+        self._straggler_rate += STRAGGLER_SMOOTHING * (straggled - self._straggler_rate)
+        if self._straggler_rate > FAULTY_STRAGGLER_RATE:
+            self.budget.note_fault(now_ms)
+
+
+__all__ = ["ServiceState"]
--- /dev/null
+++ b/src/snipemount/errors.py
@@ -0,0 +1,185 @@
+"""Numbered result codes and the exception family that carries them."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+HTTP_STATUS_BY_HUNDRED = {0: 200, 1: 400, 2: 503, 3: 502, 4: 409, 5: 401, 9: 500}
+
+
+class ResultCode(IntEnum):
+    """Result of a request; the hundreds digit groups codes by cause.
+
+    Notes
+    -----
+    0xx: an answer; 1xx: the request is at fault; 2xx: refused for lack of
+    room or time; 3xx: backend servers failed; 4xx: at-most-once and conflicts;
+    5xx: credentials; 9xx: the daemon itself.
+    """
+
+    OK = 0
+    PARTIAL = 1
+    MALFORMED_BODY = 100
+    BODY_TOO_LARGE = 101
+    UNSUPPORTED_MEDIA_TYPE = 102
+    DUPLICATE_HEADER = 103
+    INVALID_FIELD = 104
+    UNKNOWN_FIELD = 105
+    UNKNOWN_SERVICE = 106
+    UNKNOWN_ROUTE = 107
+    DEADLINE_PAST = 108
+    NOT_FOUND = 109
+    KEY_REUSED = 110
+    UNSUPPORTED_METHOD = 111
+    OVERLOADED = 200
+    NO_BACKEND = 201
+    SHUTTING_DOWN = 202
+    PLATFORM_UNAVAILABLE = 203
+    NO_SNAPSHOT = 204
+    DEADLINE_EXCEEDED = 300
+    BACKEND_FAILED = 301
+    QUARANTINED = 302
+    SNAPSHOT_GONE = 303
+    OUTCOME_UNKNOWN = 400
+    IN_PROGRESS = 401
+    CONFLICT = 402
+    CLAIMS_FULL = 403
+    UNAUTHENTICATED = 500
+    SETTINGS_INVALID = 901
+    INTERNAL = 900
+
+    @property
+    def http_status(self) -> int:
+        """HTTP status under which this code is reported to a caller."""
+        return _HTTP_STATUS.get(self, HTTP_STATUS_BY_HUNDRED[self.value // 100])
+
+    @property
+    def description(self) -> str:
+        """One line on the cause of the code."""
+        return _DESCRIPTIONS[self]
+
+
+_HTTP_STATUS = {
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.UNSUPPORTED_MEDIA_TYPE: 415,
+    ResultCode.UNKNOWN_SERVICE: 404,
+    ResultCode.UNKNOWN_ROUTE: 404,
+    ResultCode.NOT_FOUND: 404,
+    ResultCode.UNSUPPORTED_METHOD: 405,
+    ResultCode.KEY_REUSED: 422,
+    ResultCode.DEADLINE_EXCEEDED: 504,
+    ResultCode.OVERLOADED: 429,
+}
+
+_DESCRIPTIONS = {
+    ResultCode.OK: "Every shard of the pinned map answered in full.",
+    ResultCode.PARTIAL: "Some shards are missing or partial; coverage names them.",
+    ResultCode.MALFORMED_BODY: "The body is not JSON, nests too deep or holds NaN.",
+    ResultCode.BODY_TOO_LARGE: "The body is larger than the limit in the settings.",
+    ResultCode.UNSUPPORTED_MEDIA_TYPE: "The content type is not application/json.",
+    ResultCode.DUPLICATE_HEADER: "A header that may stand once stands twice.",
+    ResultCode.INVALID_FIELD: "A field is missing or has a wrong type or range.",
+    ResultCode.UNKNOWN_FIELD: "The body has a field that the interface lacks.",
+    ResultCode.UNKNOWN_SERVICE: "No service of that name is served here.",
+    ResultCode.UNKNOWN_ROUTE: "The profile of the service has no such route.",
+    ResultCode.DEADLINE_PAST: "The deadline is zero or negative.",
+    ResultCode.NOT_FOUND: "The path or the object does not exist.",
+    ResultCode.KEY_REUSED: "The idempotency key was used with another request.",
+    ResultCode.UNSUPPORTED_METHOD: "The path does not take this HTTP method.",
+    ResultCode.OVERLOADED: "No room within the deadline; send less or later.",
+    ResultCode.NO_BACKEND: "No backend server may take the request.",
+    ResultCode.SHUTTING_DOWN: "The daemon is stopping; ask another one.",
+    ResultCode.PLATFORM_UNAVAILABLE: "The platform cannot be reached for a claim.",
+    ResultCode.NO_SNAPSHOT: "No shard map of the service is known yet.",
+    ResultCode.DEADLINE_EXCEEDED: "The deadline passed before any shard answered.",
+    ResultCode.BACKEND_FAILED: "Every backend server that was tried failed.",
+    ResultCode.QUARANTINED: "The request has crashed backend servers before.",
+    ResultCode.SNAPSHOT_GONE: "The snapshot went away while the query ran.",
+    ResultCode.OUTCOME_UNKNOWN: "The key was claimed; its outcome is not known.",
+    ResultCode.IN_PROGRESS: "A request with this key is running now.",
+    ResultCode.CONFLICT: "The object was changed by another writer.",
+    ResultCode.CLAIMS_FULL: "No room for further idempotency keys just now.",
+    ResultCode.UNAUTHENTICATED: "Credentials are missing or wrong.",
+    ResultCode.SETTINGS_INVALID: "The settings file has a fault.",
+    ResultCode.INTERNAL: "A fault of the daemon itself; the log has the event.",
+}
+
+
+class SnipemountError(Exception):
+    """Base of all errors that carry a result code.
+
+    Parameters
+    ----------
+    code : ResultCode
+        What went wrong, as tabled in the reference.
+    detail : str
+        One line for a person.
+    """
+
+    exit_status = 1
+
+    def __init__(self, code: ResultCode, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+    def __str__(self) -> str:
+        return f"{self.code.name} ({self.code.value}): {self.detail}"
+
+
+class RequestError(SnipemountError):
+    """A caller's request is at fault and has not been run."""
+
+
+class SettingsError(SnipemountError):
+    """The settings file has a fault; `detail` names the key and the reason."""
+
+    exit_status = 3
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ResultCode.SETTINGS_INVALID, detail)
+
+
+class PlatformError(SnipemountError):
+    """The platform could not be reached or did not answer in time."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ResultCode.PLATFORM_UNAVAILABLE, detail)
+
+
+class ConflictError(SnipemountError):
+    """A conditional write found another version of the object."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ResultCode.CONFLICT, detail)
+
+
+class NotFoundError(SnipemountError):
+    """The object does not exist."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ResultCode.NOT_FOUND, detail)
+
+
+class ResumeExpiredError(PlatformError):
+    """A watch cannot resume from so old a version; list again."""
+
+
+class DecodeError(SnipemountError):
+    """A message from a peer or a backend server is malformed."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ResultCode.MALFORMED_BODY, detail)
+
+
+__all__ = [
+    "ConflictError",
+    "DecodeError",
+    "NotFoundError",
+    "PlatformError",
+    "RequestError",
+    "ResultCode",
+    "ResumeExpiredError",
+    "SettingsError",
+    "SnipemountError",
+]
--- /dev/null
+++ b/src/snipemount/experiments/world.py
@@ -0,0 +1,313 @@
+"""A deployment in virtual time: daemons, backend servers, callers."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..errors import ResultCode
+from ..model.exchange import Hit
+from ..model.request import Priority, Request
+from ..node.catalogue import converter
+from ..node.node import Node, Ports
+from ..node.sharing import OwnedSharing, Sharing
+from ..ports.platform import Kind
+from ..standins.backend_model import BackendModel, Behaviour, canonical_query, leaf_hits
+from ..standins.deployments import (
+    PortCounter,
+    build_members,
+    build_profile,
+    build_service,
+)
+from ..standins.object_store import ObjectStore
+from ..timers import VirtualTimers
+from .fakes import (
+    FakeBackend,
+    FakeMesh,
+    FakePlatform,
+    PlatformFaults,
+    ProcessTimers,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..decisions.membership import Member, Membership
+    from ..model.answer import Answer
+    from ..model.catalogue import ServiceRecord
+    from ..model.profile import Profile
+    from ..standins.deployments import DeploymentPlan, ServicePlan
+
+SETTLE_MS = 1500.0
+CALLERS = ("depot", "hotel", "roadside", "dispatch")
+
+
+@attrs.define(eq=False)
+class Sample:
+    """One request of the load and what became of it.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    sent_ms : float
+        When the caller sent it.
+    elapsed_ms : float
+        Time until the caller had the answer.
+    answer : Answer or None
+        None while it is running.
+    correct : bool
+        Whether the hits are those that the answer's coverage claims.
+    """
+
+    request: Request
+    sent_ms: float
+    elapsed_ms: float = 0.0
+    answer: Answer | None = None
+    correct: bool = True
+
+    @property
+    def full(self) -> bool:
+        """Whether a complete answer came."""
+        return self.answer is not None and self.answer.code is ResultCode.OK
+
+
+@attrs.define(eq=False)
+class Daemon:
+    """One daemon of the world."""
+
+    node: Node
+    process: ProcessTimers
+    backend: FakeBackend
+
+
+class World:
+    """A deployment with its load, driven in virtual time.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        Zones, daemons and services.
+    seed : int
+        Seed of every random choice.
+    make_sharing : Callable, optional
+        How daemons share the servers' limits.
+    adjust_profile : Callable, optional
+        Changes each service's profile.
+    behaviour : Behaviour, optional
+        Speed and faults of all servers; each service sets its own time.
+    warm : bool
+        Whether servers and daemons start out warm.
+    """
+
+    def __init__(
+        self,
+        plan: DeploymentPlan,
+        seed: int,
+        make_sharing: Callable[[Membership], Sharing] = OwnedSharing,
+        adjust_profile: Callable[[Profile], Profile] = lambda profile: profile,
+        behaviour: Behaviour | None = None,
+        warm: bool = True,
+    ) -> None:
+        self.plan = plan
+        self.random = Random(seed)
+        self.timers = VirtualTimers()
+        self.store = ObjectStore()
+        self.faults = PlatformFaults()
+        self.mesh = FakeMesh(self.timers, plan.zone_distance_ms)
+        self.models: dict[str, BackendModel] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.samples: list[Sample] = []
+        self.services: dict[str, ServiceRecord] = {}
+        self.record_samples = True
+        self._make_sharing = make_sharing
+        self._connect_ms: dict[str, float] = {}
+        self._ids = count(1)
+        self._ports = PortCounter()
+        self._behaviour = behaviour or Behaviour()
+        self._warm = warm
+        for service in plan.services:
+            self._add_service(service, adjust_profile)
+        for member in build_members(plan, self._ports):
+            self.store.put(Kind.MEMBER, member.name, converter.unstructure(member))
+            self.add_daemon(member)
+        self.run_for(SETTLE_MS)
+
+    @property
+    def now_ms(self) -> float:
+        """Virtual time in milliseconds."""
+        return self.timers.now_ms()
+
+    def run_for(self, duration_ms: float) -> None:
+        """Let virtual time pass."""
+        self.timers.run_until(self.timers.now_ms() + duration_ms)
+
+    def add_daemon(self, member: Member) -> Daemon:
+        """Start a daemon."""
+        process = ProcessTimers(self.timers)
+        backend = FakeBackend(
+            process,
+            self.models,
+            member.zone,
+            self.plan.zone_distance_ms,
+            self._connect_ms,
+        )
+        platform = FakePlatform(self.store, process, self.faults)
+        ports = Ports(backend, self.mesh.port(member), platform, process)
+        random = Random(f"{member.name}/{self.random.random()}")
+        node = Node(member, ports, random, self._make_sharing)
+        daemon = Daemon(node, process, backend)
+        self.daemons[member.name] = daemon
+        self.mesh.nodes[member.name] = node
+        self.mesh.processes[member.name] = process
+        node.start()
+        return daemon
+
+    def kill_daemon(self, name: str) -> None:
+        """End a daemon without any goodbye."""
+        daemon = self.daemons.pop(name)
+        daemon.process.killed = True
+        daemon.backend.close_all()
+        self.mesh.nodes.pop(name)
+        for other in self.daemons.values():
+            other.node.peer_lost(name)
+
+    def servers_of(self, service: str) -> list[BackendModel]:
+        """Return the models of a service's servers."""
+        names = [s.name for v in self.services[service].versions for s in v.servers]
+        return [self.models[name] for name in names]
+
+    def put_service(self, record: ServiceRecord) -> None:
+        """Write a service to the platform."""
+        self.services[record.name] = record
+        self.store.put(Kind.SERVICE, record.name, converter.unstructure(record))
+
+    def request(
+        self,
+        service: str,
+        query: object = None,
+        caller: str | None = None,
+        priority: Priority = Priority.NORMAL,
+        deadline_ms: float = 370.0,
+        repeatable: bool = True,
+        idempotency_key: str | None = None,
+        shard_key: str | None = None,
+    ) -> Request:
+        """Return a request, by default of a query not asked before."""
+        number = next(self._ids)
+        asked = {"q": number} if query is None else query
+        return Request(
+            request_id=f"r{number}",
+            service=service,
+            route="search" if repeatable else "submit",
+            query=canonical_query(asked),
+            caller=caller or self.random.choice(CALLERS),
+            priority=priority,
+            deadline_ms=deadline_ms,
+            repeatable=repeatable,
+            idempotency_key=idempotency_key,
+            shard_key=shard_key,
+        )
+
+    def send(self, request: Request, daemon: str | None = None) -> Sample:
+        """Send a request through the balancer, or to the daemon named."""
+        ready = sorted(n for n, d in self.daemons.items() if d.node.ready)
+        name = daemon or self.random.choice(ready)
+        target = self.daemons[name]
+        sample = Sample(request, self.now_ms)
+        if self.record_samples:
+            self.samples.append(sample)
+        distance_ms = self.plan.client_distance_ms
+
+        def got(answer: Answer) -> None:
+            sample.answer = answer
+            sample.elapsed_ms = self.now_ms + distance_ms - sample.sent_ms
+            sample.correct = self._is_correct(request, answer)
+
+        target.process.call_later(distance_ms, lambda: target.node.submit(request, got))
+        return sample
+
+    def load(
+        self,
+        service: str,
+        queries_per_s: float,
+        duration_ms: float,
+        make: Callable[[], Request] | None = None,
+    ) -> None:
+        """Send queries at random times for a while, starting now."""
+        end_ms = self.now_ms + duration_ms
+
+        def arrive() -> None:
+            if self.now_ms >= end_ms:
+                return
+            self.send(make() if make else self.request(service))
+            self.timers.call_later(gap_ms(), arrive)
+
+        def gap_ms() -> float:
+            return self.random.expovariate(queries_per_s) * 1000.0
+
+        self.timers.call_later(gap_ms(), arrive)
+
+    def extra_load(self, service: str) -> float:
+        """Return hedges and retries as a fraction of first attempts."""
+        states = [d.node.entry.state(service) for d in self.daemons.values()]
+        first = sum(s.budget.first_attempts for s in states if s)
+        extra = sum(s.budget.extra_attempts for s in states if s)
+        return extra / first if first else 0.0
+
+    def _add_service(
+        self, service: ServicePlan, adjust: Callable[[Profile], Profile]
+    ) -> None:
+        profile = adjust(build_profile(service))
+        self.store.put(Kind.PROFILE, profile.name, converter.unstructure(profile))
+        record = build_service(self.plan, service, self._ports)
+        self.add_servers(record, service)
+        self.put_service(record)
+
+    def add_servers(self, record: ServiceRecord, service: ServicePlan) -> None:
+        """Start the backend servers of a service that do not run yet."""
+        for version in record.versions:
+            shard_map = record.shard_map(version.version)
+            tokens = {shard_map.snapshot.token} if shard_map else set()
+            for server in version.servers:
+                if server.name in self.models:
+                    continue
+                behaviour = attrs.evolve(self._behaviour, service_ms=service.service_ms)
+                model = BackendModel(
+                    server, self.timers, Random(server.name), behaviour, set(tokens)
+                )
+                if not self._warm:
+                    model.turn_cold()
+                self.models[server.name] = model
+                self._connect_ms[server.name] = service.connect_ms
+
+    def _is_correct(self, request: Request, answer: Answer) -> bool:
+        if answer.coverage is None or answer.snapshot is None:
+            return not answer.hits
+        missing = {m.shard for m in answer.coverage.missing if not m.partial}
+        total = answer.coverage.total
+        if answer.coverage.answered + len(answer.coverage.missing) != total:
+            return False
+        if request.shard_key is not None:
+            return True
+        answered = [shard for shard in range(total) if shard not in missing]
+        return answer.hits == expected_hits(request, answer.snapshot, answered)
+
+
+def expected_hits(
+    request: Request, snapshot: str, shards: Iterable[int]
+) -> tuple[Hit, ...]:
+    """Return the hits that a whole merge over `shards` must have."""
+    merged = [
+        hit
+        for shard in shards
+        for hit in leaf_hits(snapshot, shard, request.query, request.top_k)
+    ]
+    merged.sort(key=lambda hit: (-hit.score, hit.document))
+    return tuple(merged[: request.top_k])
+
+
+__all__ = ["Daemon", "Sample", "World", "expected_hits"]
--- /dev/null
+++ b/src/snipemount/logs.py
@@ -0,0 +1,38 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+import structlog
+
+if TYPE_CHECKING:
+    from structlog.typing import FilteringBoundLogger
+
+
+def make_logger(
+    level: str, daemon: str, stream: TextIO = sys.stderr
+) -> FilteringBoundLogger:
+    """Return a logger that stamps each event with time and daemon."""
+    wrapper = structlog.make_filtering_bound_logger(
+        logging.getLevelNamesMapping()[level.upper()]
+    )
+    logger = structlog.wrap_logger(
+        structlog.PrintLogger(stream),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=["time", "level", "event", "daemon"]
+            ),
+        ],
+        wrapper_class=wrapper,
+    )
+    bound: FilteringBoundLogger = logger.bind(daemon=daemon)
+    return bound
+
+
+__all__ = ["make_logger"]
--- /dev/null
+++ b/src/snipemount/node/claimer.py
@@ -0,0 +1,136 @@
+"""Driver of the claim buckets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import cattrs
+
+from ..decisions.claims import (
+    GIVE_UP_MS,
+    ClaimBucket,
+    ClaimRecord,
+    ReadBucket,
+    WakeBucketAfter,
+    Wanted,
+    WriteBucket,
+    bucket_of,
+)
+from ..ports.platform import Conflicted, Found, Kind, Missing, Written
+from .catalogue import converter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..decisions.claims import BucketAction, ClaimResult
+    from ..ports.platform import PlatformPort, ReadResult, WriteResult
+    from ..timers import TimerService
+
+BUCKETS_PER_SERVICE = 16
+
+
+@attrs.frozen
+class BucketSpec:
+    """A bucket as the platform stores it."""
+
+    records: tuple[ClaimRecord, ...] = ()
+
+
+class Claimer:
+    """Claims idempotency keys in the platform before anything runs.
+
+    Parameters
+    ----------
+    platform : PlatformPort
+        The platform's object API.
+    timers : TimerService
+        Time.
+    """
+
+    def __init__(self, platform: PlatformPort, timers: TimerService) -> None:
+        self._platform = platform
+        self._timers = timers
+        self._buckets: dict[str, ClaimBucket] = {}
+
+    def claim(
+        self,
+        service: str,
+        retention_ms: float,
+        record: ClaimRecord,
+        done: Callable[[ClaimResult], None],
+    ) -> None:
+        """Claim a key; `done` gets the result at the latest after a while."""
+        name = self._bucket_name(service, record.key)
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = ClaimBucket(retention_ms)
+        wanted = Wanted(record, self._timers.now_ms(), done)
+        self._run(name, bucket.claim(wanted))
+        self._timers.call_later(GIVE_UP_MS, lambda: self._wake(name))
+
+    def settle(self, service: str, record: ClaimRecord) -> None:
+        """Store what became of a claimed request."""
+        name = self._bucket_name(service, record.key)
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+            self._run(name, bucket.settle(record, now_ms, wall_ms))
+
+    @staticmethod
+    def _bucket_name(service: str, key: str) -> str:
+        return f"{service}-{bucket_of(key, BUCKETS_PER_SERVICE)}"
+
+    def _wake(self, name: str) -> None:
+        now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+        self._run(name, self._buckets[name].wake(now_ms, wall_ms))
+
+    def _run(self, name: str, actions: list[BucketAction]) -> None:
+        for action in actions:
+            match action:
+                case ReadBucket():
+                    self._platform.read(
+                        Kind.CLAIM_BUCKET, name, lambda result: self._read(name, result)
+                    )
+                case WriteBucket(records, version):
+                    self._platform.write(
+                        Kind.CLAIM_BUCKET,
+                        name,
+                        converter.unstructure(BucketSpec(records)),
+                        version,
+                        lambda result: self._wrote(name, result),
+                    )
+                case WakeBucketAfter(delay_ms):
+                    self._timers.call_later(delay_ms, lambda: self._wake(name))
+
+    def _read(self, name: str, result: ReadResult) -> None:
+        bucket = self._buckets[name]
+        now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+        match result:
+            case Found(stored):
+                try:
+                    spec = converter.structure(stored.spec, BucketSpec)
+                except (cattrs.BaseValidationError, TypeError, ValueError):
+                    self._run(name, bucket.failed(now_ms))
+                    return
+                self._run(
+                    name, bucket.was_read(spec.records, stored.version, now_ms, wall_ms)
+                )
+            case Missing():
+                self._run(name, bucket.was_read((), None, now_ms, wall_ms))
+            case _:
+                self._run(name, bucket.failed(now_ms))
+
+    def _wrote(self, name: str, result: WriteResult) -> None:
+        bucket = self._buckets[name]
+        now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+        match result:
+            case Written(stored):
+                self._run(name, bucket.was_written(stored.version, now_ms, wall_ms))
+            case Conflicted():
+                self._run(name, bucket.conflicted(now_ms, wall_ms))
+            case _:
+                self._run(name, bucket.failed(now_ms))
+
+
+__all__ = ["Claimer"]
--- /dev/null
+++ b/src/snipemount/node/entry.py
@@ -0,0 +1,422 @@
+"""Driver of the queries that callers hand to this daemon."""
+
+from __future__ import annotations
+
+from functools import partial
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..decisions.claims import (
+    MOST_OUTCOME_CHARS,
+    ClaimRecord,
+    ClaimState,
+    Existing,
+    Granted,
+    Unavailable,
+)
+from ..decisions.query_run import (
+    CancelExchange,
+    Finish,
+    QueryRun,
+    Restart,
+    SendExchange,
+    WakeAt,
+)
+from ..decisions.service_state import ServiceState
+from ..errors import ResultCode
+from ..histograms import Histograms, Series
+from ..model.answer import Answer
+from ..model.exchange import ExchangeReply, Fate, Reason
+from .answer_store import answer_from_text, answer_to_text
+from .shard_key import shard_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from ..decisions.claims import ClaimResult
+    from ..decisions.quarantine import Quarantine
+    from ..decisions.query_run import RunAction
+    from ..model.exchange import Exchange
+    from ..model.fleet import ShardMap
+    from ..model.request import Request
+    from ..timers import TimerService
+    from .catalogue import Catalogue
+    from .claimer import Claimer
+
+
+FORGET_AFTER_MS = 5000.0
+
+
+@attrs.define(eq=False)
+class Job:
+    """A caller's request while it is in the daemon.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    done : Callable
+        Gets the answer, once.
+    started_ms : float
+        When it arrived.
+    run : QueryRun or None
+        The run on its snapshot.
+    claim : ClaimRecord or None
+        Claim of its idempotency key, once granted.
+    restarts : int
+        Restarts on a newer snapshot.
+    proving : bool
+        Whether other requests of the same fingerprint wait for it.
+    """
+
+    request: Request
+    done: Callable[[Answer], None]
+    started_ms: float
+    run: QueryRun | None = None
+    claim: ClaimRecord | None = None
+    restarts: int = 0
+    proving: bool = False
+
+
+@attrs.define(eq=False)
+class Pending:
+    """An exchange that has not ended, and the daemon that has it."""
+
+    job: Job
+    run: QueryRun
+    exchange: Exchange
+    daemon: str
+
+
+class EntryDriver:
+    """Admits requests and runs each one on one pinned snapshot.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of the daemon.
+    timers : TimerService
+        Time.
+    random : Random
+        Seeded generator.
+    catalogue : Catalogue
+        Services and profiles.
+    claimer : Claimer
+        Idempotency keys.
+    quarantine : Quarantine
+        Requests that crash servers.
+    route_exchange : Callable
+        Hands an exchange on; returns the daemon that has it now, or None.
+    withdraw_exchange : Callable
+        Tells that daemon that an exchange is no longer wanted.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        timers: TimerService,
+        random: Random,
+        catalogue: Catalogue,
+        claimer: Claimer,
+        quarantine: Quarantine,
+        route_exchange: Callable[[Exchange], str | None],
+        withdraw_exchange: Callable[[str, int, str], None],
+    ) -> None:
+        self._zone = zone
+        self._timers = timers
+        self._random = random
+        self._catalogue = catalogue
+        self._claimer = claimer
+        self._quarantine = quarantine
+        self._route_exchange = route_exchange
+        self._withdraw_exchange = withdraw_exchange
+        self._exchange_ids = count(1)
+        self._claim_ids = count(1)
+        self._states: dict[str, ServiceState] = {}
+        self._jobs: dict[str, Job] = {}
+        self._pending: dict[int, Pending] = {}
+        self._proving: dict[str, list[Job]] = {}
+        self.histograms = Histograms()
+        self.stopping = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is running."""
+        return not self._jobs
+
+    def submit(self, request: Request, done: Callable[[Answer], None]) -> None:
+        """Run a checked request; `done` gets its one answer."""
+        job = Job(request, done, self._timers.now_ms())
+        if self.stopping:
+            self._refuse(job, ResultCode.SHUTTING_DOWN)
+            return
+        self._jobs[request.request_id] = job
+        if request.idempotency_key is not None and not request.repeatable:
+            self._claim(job, request.idempotency_key)
+        else:
+            self._start(job)
+
+    def abandon(self, request_id: str) -> None:
+        """Stop the work on a request whose caller has gone away."""
+        job = self._jobs.get(request_id)
+        if job is not None and job.run is not None and job.request.repeatable:
+            self._carry_out(job, job.run, job.run.abandon(self._timers.now_ms()))
+
+    def replied(self, reply: ExchangeReply) -> None:
+        """Take the end of an exchange; late ones are dropped."""
+        pending = self._pending.pop(reply.exchange_id, None)
+        if pending is None:
+            return
+        if reply.server != pending.exchange.server:
+            self._pending[reply.exchange_id] = pending
+            return
+        run, job = pending.run, pending.job
+        self._learn(job, pending.exchange, reply)
+        self._carry_out(job, run, run.replied(reply, self._timers.now_ms()))
+
+    def daemon_lost(self, daemon: str) -> None:
+        """End every exchange that was with a daemon whose connection broke."""
+        for exchange_id, pending in list(self._pending.items()):
+            if pending.daemon == daemon:
+                self._synthesize(
+                    exchange_id,
+                    pending.exchange.server,
+                    Fate.MAY_HAVE_RUN,
+                    Reason.PEER_LOST,
+                )
+
+    def state(self, service: str) -> ServiceState | None:
+        """Return the state of a service, made on first use."""
+        record = self._catalogue.service(service)
+        if record is None:
+            return None
+        profile = self._catalogue.profile(record.profile)
+        if profile is None:
+            return None
+        state = self._states.get(service)
+        if state is None:
+            state = ServiceState(profile, self._zone, self._exchange_ids, self._random)
+            self._states[service] = state
+        state.profile = profile
+        return state
+
+    def catalogue_changed(self) -> None:
+        """Take over zones and profiles from the catalogue."""
+        zones_out = self._catalogue.zones_out()
+        for record in self._catalogue.services():
+            state = self.state(record.name)
+            if state is not None:
+                state.placer.zones_out = zones_out
+                servers = {s.name for v in record.versions for s in v.servers}
+                state.fleet.forget_all_but(servers)
+
+    def _claim(self, job: Job, key: str) -> None:
+        request = job.request
+        state = self.state(request.service)
+        if state is None:
+            self._refuse(job, ResultCode.UNKNOWN_SERVICE)
+            return
+        record = ClaimRecord(
+            key=f"{request.caller}/{key}",
+            fingerprint=request.fingerprint,
+            claim_id=f"{request.request_id}/{next(self._claim_ids)}",
+            claimed_at_ms=self._timers.wall_ms(),
+        )
+        retention_ms = state.profile.claim_retention_ms
+        self._claimer.claim(
+            request.service,
+            retention_ms,
+            record,
+            lambda result: self._claimed(job, record, result),
+        )
+
+    def _claimed(self, job: Job, record: ClaimRecord, result: ClaimResult) -> None:
+        match result:
+            case Granted():
+                job.claim = record
+                self._start(job)
+            case Existing(known):
+                self._answer_known(job, known)
+            case Unavailable(full):
+                code = (
+                    ResultCode.CLAIMS_FULL if full else ResultCode.PLATFORM_UNAVAILABLE
+                )
+                self._refuse(job, code)
+
+    def _answer_known(self, job: Job, known: ClaimRecord) -> None:
+        """Answer a resent key from its record; it never runs again."""
+        if known.fingerprint != job.request.fingerprint:
+            self._refuse(job, ResultCode.KEY_REUSED)
+            return
+        answer = answer_from_text(known.outcome) if known.outcome else None
+        if answer is None:
+            code = ResultCode.OUTCOME_UNKNOWN
+            if known.state is ClaimState.CLAIMED:
+                code = ResultCode.IN_PROGRESS
+            answer = Answer(job.request.request_id, code)
+            answer.detail = "the key was claimed before"
+        answer.request_id = job.request.request_id
+        self._finish(job, answer)
+
+    def _start(self, job: Job, fallback: Answer | None = None) -> None:
+        request = job.request
+        state = self.state(request.service)
+        shard_map = self._catalogue.shard_map(request.service)
+        if state is None or shard_map is None:
+            self._refuse(job, ResultCode.NO_SNAPSHOT)
+            return
+        if fallback is not None and fallback.snapshot == shard_map.snapshot.token:
+            self._finish(job, fallback)
+            return
+        left = self._servers_at_risk(job, state, shard_map)
+        if left is None:
+            return
+        shards = self._shards(request, shard_map)
+        run = QueryRun(
+            request, shard_map, shards, state, left, job.started_ms, job.restarts
+        )
+        if job.run is None:
+            state.admission.started(request.caller)
+        job.run = run
+        self._carry_out(job, run, run.start(self._timers.now_ms()))
+
+    def _servers_at_risk(
+        self, job: Job, state: ServiceState, shard_map: ShardMap
+    ) -> int | None:
+        """Return how many servers may prove the request; 0 means all.
+
+        None when the job was refused or has to wait for another one's proof.
+        """
+        fingerprint = job.request.fingerprint
+        left = self._quarantine.servers_left(fingerprint, self._timers.now_ms())
+        if left == 0:
+            self._refuse(job, ResultCode.QUARANTINED)
+            return None
+        version = shard_map.snapshot.version
+        proven = self._quarantine.is_proven(fingerprint, version)
+        if proven or state.profile.proving_servers == 0:
+            return 0
+        waiting = self._proving.get(fingerprint)
+        if waiting is not None and not job.proving:
+            waiting.append(job)
+            return None
+        self._proving.setdefault(fingerprint, [])
+        job.proving = True
+        return min(left, state.profile.proving_servers)
+
+    @staticmethod
+    def _shards(request: Request, shard_map: ShardMap) -> tuple[int, ...]:
+        if request.shard_key is not None:
+            return (shard_of(request.shard_key, shard_map.shard_count),)
+        return tuple(range(shard_map.shard_count))
+
+    def _learn(self, job: Job, exchange: Exchange, reply: ExchangeReply) -> None:
+        if reply.fate is not Fate.ANSWERED:
+            return
+        version = exchange.snapshot.split("/")[1]
+        self._quarantine.prove(exchange.fingerprint, version)
+        self._release_waiting(job)
+
+    def _release_waiting(self, job: Job) -> None:
+        """Start the requests that waited for this one's proof."""
+        if not job.proving:
+            return
+        job.proving = False
+        for waiting in self._proving.pop(job.request.fingerprint, []):
+            self._timers.call_soon(partial(self._start, waiting))
+
+    def _carry_out(self, job: Job, run: QueryRun, actions: list[RunAction]) -> None:
+        for action in actions:
+            match action:
+                case SendExchange(exchange):
+                    self._send(job, run, exchange)
+                case CancelExchange(exchange_id, server):
+                    self._cancel(exchange_id, server)
+                case WakeAt(at_ms):
+                    delay_ms = at_ms - self._timers.now_ms()
+                    self._timers.call_later(delay_ms, lambda: self._wake(job, run))
+                case Finish(answer):
+                    self._finish(job, answer)
+                case Restart(fallback):
+                    job.restarts += 1
+                    self._start(job, fallback)
+
+    def _wake(self, job: Job, run: QueryRun) -> None:
+        if not run.finished:
+            self._carry_out(job, run, run.wake(self._timers.now_ms()))
+
+    def _send(self, job: Job, run: QueryRun, exchange: Exchange) -> None:
+        pending = Pending(job, run, exchange, "")
+        self._pending[exchange.exchange_id] = pending
+        daemon = self._route_exchange(exchange)
+        if daemon is None:
+            self._timers.call_soon(
+                lambda: self._synthesize(
+                    exchange.exchange_id,
+                    exchange.server,
+                    Fate.NOT_SENT,
+                    Reason.NOT_OWNER,
+                )
+            )
+            return
+        pending.daemon = daemon
+
+    def _synthesize(
+        self, exchange_id: int, server: str, fate: Fate, reason: Reason
+    ) -> None:
+        self.replied(ExchangeReply(exchange_id, server, fate, reason))
+
+    def _cancel(self, exchange_id: int, server: str) -> None:
+        pending = self._pending.get(exchange_id)
+        if pending is None:
+            return
+        self._withdraw_exchange(pending.daemon, exchange_id, server)
+
+    def _refuse(self, job: Job, code: ResultCode) -> None:
+        answer = Answer(job.request.request_id, code, not_run=True)
+        self._finish(job, answer)
+
+    def _finish(self, job: Job, answer: Answer) -> None:
+        request = job.request
+        self._jobs.pop(request.request_id, None)
+        if job.run is not None:
+            state = self.state(request.service)
+            if state is not None:
+                state.admission.ended(request.caller)
+        self._release_waiting(job)
+        answer.elapsed_ms = self._timers.now_ms() - job.started_ms
+        if job.claim is not None:
+            self._settle(job, job.claim, answer)
+        self.histograms.record(
+            Series(request.service, request.caller, request.priority.name.lower()),
+            answer.elapsed_ms,
+        )
+        if job.run is not None and job.run.outstanding:
+            run = job.run
+            self._timers.call_later(FORGET_AFTER_MS, lambda: self._forget(run))
+        job.done(answer)
+
+    def _forget(self, run: QueryRun) -> None:
+        """Stop waiting for exchanges whose end was never told."""
+        for exchange in run.outstanding:
+            self._synthesize(
+                exchange.exchange_id,
+                exchange.server,
+                Fate.MAY_HAVE_RUN,
+                Reason.PEER_LOST,
+            )
+
+    def _settle(self, job: Job, claim: ClaimRecord, answer: Answer) -> None:
+        """Store the outcome under the claimed key."""
+        state = ClaimState.NOT_RUN if answer.not_run else ClaimState.DONE
+        text = answer_to_text(answer) if answer.code is ResultCode.OK else ""
+        if len(text) > MOST_OUTCOME_CHARS:
+            text = ""
+        record = attrs.evolve(claim, state=state, outcome=text)
+        self._claimer.settle(job.request.service, record)
+
+
+__all__ = ["EntryDriver"]
--- /dev/null
+++ b/src/snipemount/node/node.py
@@ -0,0 +1,273 @@
+"""One daemon's engine: entry, owner and member, without any transport."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..decisions.membership import HEARTBEAT_PERIOD_MS, Member, Membership
+from ..decisions.quarantine import Quarantine, StrikeNotice
+from ..decisions.server_owner import Origin
+from ..ports.peer import (
+    Goodbye,
+    Heartbeat,
+    ReportExchange,
+    ReportStrike,
+    ReportWarm,
+    SubmitExchange,
+    WithdrawExchange,
+)
+from ..ports.platform import Kind
+from .catalogue import Catalogue
+from .claimer import Claimer
+from .entry import EntryDriver
+from .owner import OwnerDriver
+from .sharing import OwnedSharing, Sharing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from ..decisions.server_owner import Strike
+    from ..model.answer import Answer
+    from ..model.exchange import Exchange, ExchangeReply
+    from ..model.fleet import BackendServer
+    from ..model.profile import Profile
+    from ..model.request import Request
+    from ..ports.backend import BackendPort
+    from ..ports.peer import PeerMessage, PeerPort
+    from ..ports.platform import PlatformPort
+    from ..timers import TimerService
+
+STOP_POLL_MS = 10.0
+MEMBER_TICK_MS = 50.0
+WARM_PERIOD_MS = 1000.0
+WARM_MEMORY_MS = 5000.0
+
+
+@attrs.frozen
+class Ports:
+    """The outside as one daemon sees it."""
+
+    backend: BackendPort
+    peers: PeerPort
+    platform: PlatformPort
+    timers: TimerService
+
+
+class Node:
+    """Everything that a daemon decides, driven by its ports.
+
+    Parameters
+    ----------
+    own : Member
+        This daemon.
+    ports : Ports
+        The outside.
+    random : Random
+        Seeded generator.
+    make_sharing : Callable, optional
+        How the limits of servers are shared; by ownership if left out.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        ports: Ports,
+        random: Random,
+        make_sharing: Callable[[Membership], Sharing] = OwnedSharing,
+    ) -> None:
+        self.own = own
+        self.start_id = f"{random.getrandbits(32):08x}"
+        self._ports = ports
+        self._timers = ports.timers
+        self.membership = Membership(own, self._timers.now_ms())
+        self._sharing = make_sharing(self.membership)
+        self.quarantine = Quarantine()
+        self.catalogue = Catalogue(
+            ports.platform, self._timers, random, self._catalogue_changed
+        )
+        self.owner = OwnerDriver(
+            ports.backend, self._timers, self._sharing, self._exchange_ended, self._lost
+        )
+        self.entry = EntryDriver(
+            own.zone,
+            self._timers,
+            random,
+            self.catalogue,
+            Claimer(ports.platform, self._timers),
+            self.quarantine,
+            self._route,
+            self._withdraw,
+        )
+        self.owner.connect_warmth(self._was_cold, self._laid_down)
+        self._warm_told_ms: dict[str, float] = {}
+        self._servers: dict[str, BackendServer] = {}
+        self._stopped = False
+        self._strike_count = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether the daemon may be given requests."""
+        settled = self.membership.is_settled(self._timers.now_ms())
+        return self.catalogue.ready and settled and not self.entry.stopping
+
+    def start(self) -> None:
+        """Read the catalogue and begin to send heartbeats."""
+        self.catalogue.start()
+        self._beat()
+        self._timers.call_every(HEARTBEAT_PERIOD_MS, self._beat)
+        self._timers.call_every(MEMBER_TICK_MS, self._tick)
+        self._timers.call_every(WARM_PERIOD_MS, self._tell_successors)
+
+    def submit(self, request: Request, done: Callable[[Answer], None]) -> None:
+        """Run a checked request; `done` gets its one answer."""
+        self.entry.submit(request, done)
+
+    def stop(self, done: Callable[[], None]) -> None:
+        """Refuse new requests, finish all others, hand over, then call `done`."""
+        self.entry.stopping = True
+        self._await_idle(done)
+
+    def received(self, sender: str, message: PeerMessage) -> None:
+        """Take a message of another daemon."""
+        match message:
+            case Heartbeat(member):
+                self.membership.heard(member, self._timers.now_ms())
+            case SubmitExchange(exchange):
+                self.owner.submit(Origin(sender, exchange.exchange_id), exchange)
+            case WithdrawExchange(exchange_id, server):
+                self.owner.cancel(Origin(sender, exchange_id), server)
+            case ReportExchange(reply):
+                self.entry.replied(reply)
+            case ReportStrike(notice):
+                self.quarantine.strike(notice, self._timers.now_ms())
+            case ReportWarm(servers):
+                now_ms = self._timers.now_ms()
+                self._warm_told_ms.update(dict.fromkeys(servers, now_ms))
+            case Goodbye(name):
+                self.membership.left(name)
+                self.owner.update_shares()
+
+    def peer_lost(self, name: str) -> None:
+        """Take note that the connection to another daemon broke."""
+        self.entry.daemon_lost(name)
+
+    def _beat(self) -> None:
+        if self._stopped:
+            return
+        message = Heartbeat(self.own)
+        for member in self.membership.members:
+            if member.name != self.own.name:
+                self._ports.peers.send(member, message)
+
+    def _tick(self) -> None:
+        if self.membership.tick(self._timers.now_ms()):
+            self.owner.update_shares()
+
+    def _catalogue_changed(self, kind: Kind) -> None:
+        if kind is Kind.MEMBER:
+            listed = self.catalogue.members()
+            self.membership.take_list(listed, self._timers.now_ms())
+        self.entry.catalogue_changed()
+        servers: dict[str, BackendServer] = {}
+        profiles: dict[str, Profile] = {}
+        for record in self.catalogue.services():
+            profile = self.catalogue.profile(record.profile)
+            if profile is None:
+                continue
+            for version in record.versions:
+                for server in version.servers:
+                    servers[server.name] = server
+                    profiles[server.name] = profile
+        self._servers = servers
+        self.owner.set_servers(servers, profiles)
+
+    def _route(self, exchange: Exchange) -> str | None:
+        server = self._servers.get(exchange.server)
+        if server is None:
+            return None
+        name = self._sharing.daemon_for(server, self._timers.now_ms())
+        if name is None:
+            return None
+        if name == self.own.name:
+            self.owner.submit(Origin(name, exchange.exchange_id), exchange)
+            return name
+        member = self._member(name)
+        if member is None:
+            return None
+        sent = self._ports.peers.send(member, SubmitExchange(exchange))
+        return name if sent else None
+
+    def _withdraw(self, daemon: str, exchange_id: int, server: str) -> None:
+        if daemon == self.own.name:
+            self.owner.cancel(Origin(daemon, exchange_id), server)
+            return
+        member = self._member(daemon)
+        if member is not None:
+            self._ports.peers.send(member, WithdrawExchange(exchange_id, server))
+
+    def _exchange_ended(self, origin: Origin, reply: ExchangeReply) -> None:
+        if origin.daemon == self.own.name:
+            self._timers.call_soon(lambda: self.entry.replied(reply))
+            return
+        member = self._member(origin.daemon)
+        if member is not None:
+            self._ports.peers.send(member, ReportExchange(reply))
+
+    def _lost(self, strike: Strike) -> None:
+        self._strike_count += 1
+        notice_id = f"{self.own.name}/{strike.server}/{self._strike_count}"
+        notice = StrikeNotice(notice_id, strike.fingerprint, strike.server)
+        self.quarantine.strike(notice, self._timers.now_ms())
+        for member in self.membership.members:
+            if member.name != self.own.name:
+                self._ports.peers.send(member, ReportStrike(notice))
+
+    def _was_cold(self, server: str) -> bool:
+        """Return whether a server taken up now is to be warmed up first."""
+        told_ms = self._warm_told_ms.get(server)
+        if told_ms is None:
+            return True
+        return self._timers.now_ms() - told_ms > WARM_MEMORY_MS
+
+    def _laid_down(self, server: BackendServer) -> None:
+        """Tell the new owner of a server that it is warm."""
+        name = self._sharing.daemon_for(server, self._timers.now_ms())
+        self._tell_warm(name, (server.name,))
+
+    def _tell_successors(self) -> None:
+        """Tell who would own each warm server after this daemon."""
+        told: dict[str, list[str]] = {}
+        for server in self.owner.warm_servers:
+            successor = self._sharing.successor(server)
+            if successor is not None:
+                told.setdefault(successor, []).append(server.name)
+        for name, servers in told.items():
+            self._tell_warm(name, tuple(servers))
+
+    def _tell_warm(self, name: str | None, servers: tuple[str, ...]) -> None:
+        member = self._member(name) if name is not None else None
+        if member is not None and member.name != self.own.name:
+            self._ports.peers.send(member, ReportWarm(servers))
+
+    def _member(self, name: str) -> Member | None:
+        return self.membership.member(name)
+
+    def _await_idle(self, done: Callable[[], None]) -> None:
+        if not self.entry.idle:
+            self._timers.call_later(STOP_POLL_MS, lambda: self._await_idle(done))
+            return
+        self.owner.stop()
+        if not self.owner.idle:
+            self._timers.call_later(STOP_POLL_MS, lambda: self._await_idle(done))
+            return
+        self._stopped = True
+        for member in self.membership.members:
+            if member.name != self.own.name:
+                self._ports.peers.send(member, Goodbye(self.own.name))
+        self._timers.call_later(STOP_POLL_MS, done)
+
+
+__all__ = ["Node", "Ports"]
--- /dev/null
+++ b/src/snipemount/node/sharing.py
@@ -0,0 +1,90 @@
+"""How the daemons of a zone share the limits of its backend servers."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from ..decisions.ownership import NO_SHARE, OwnerShare, Ownership
+
+if TYPE_CHECKING:
+    from ..decisions.membership import Membership
+    from ..model.fleet import BackendServer
+
+
+class Sharing(ABC):
+    """Where exchanges for a server go, and what this daemon may use of it."""
+
+    @abstractmethod
+    def daemon_for(self, server: BackendServer, now_ms: float) -> str | None:
+        """Return the daemon that sends exchanges to `server`, or None."""
+
+    @abstractmethod
+    def share(self, server: BackendServer, now_ms: float) -> OwnerShare:
+        """Return this daemon's own share of `server`."""
+
+    def successor(self, server: BackendServer) -> str | None:
+        """Return the daemon that takes `server` over after this one."""
+        return None
+
+
+class OwnedSharing(Sharing):
+    """Each server has one owner daemon in its zone.
+
+    Parameters
+    ----------
+    membership : Membership
+        View of the daemons.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self._ownership = Ownership(membership)
+
+    def daemon_for(self, server: BackendServer, now_ms: float) -> str | None:
+        """Return the owner of `server`."""
+        return self._ownership.owner(server, now_ms)
+
+    def share(self, server: BackendServer, now_ms: float) -> OwnerShare:
+        """Return the owner's share."""
+        return self._ownership.share(server, now_ms)
+
+    def successor(self, server: BackendServer) -> str | None:
+        """Return the second daemon in the order of owners."""
+        order = self._ownership.order(server)
+        return order[1] if len(order) > 1 else None
+
+
+class StaticSharing(Sharing):
+    """Each daemon sends to every server within a fixed part of its limits.
+
+    The baseline that ownership is measured against.
+
+    Parameters
+    ----------
+    membership : Membership
+        View of the daemons.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+
+    def daemon_for(self, server: BackendServer, now_ms: float) -> str | None:
+        """Return this daemon itself."""
+        return self._membership.own.name
+
+    def share(self, server: BackendServer, now_ms: float) -> OwnerShare:
+        """Return the part of `server` that falls to this daemon."""
+        names = [member.name for member in self._membership.members]
+        rank = names.index(self._membership.own.name)
+        count = len(names)
+        slots = self._part(server.slots, rank, count)
+        if slots == 0:
+            return NO_SHARE
+        return OwnerShare(slots, self._part(server.connection_limit, rank, count))
+
+    @staticmethod
+    def _part(whole: int, rank: int, count: int) -> int:
+        return whole // count + (rank < whole % count)
+
+
+__all__ = ["OwnedSharing", "Sharing", "StaticSharing"]
--- /dev/null
+++ b/src/snipemount/run.py
@@ -0,0 +1,34 @@
+"""Command line: parses the arguments and runs one subcommand."""
+
+from __future__ import annotations
+
+import sys
+
+import attrs
+import cappa
+
+from .commands.demo import Demo
+from .commands.serve import Serve
+from .errors import SnipemountError
+from .queries.codes import Codes
+from .queries.experiment import Experiment
+
+
+@cappa.command(name="snipemount", help="A query tier over sharded backend servers.")
+@attrs.define
+class Snipemount:
+    """Arguments of the program."""
+
+    command: cappa.Subcommands[Serve | Demo | Experiment | Codes]
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the program; user errors are shown in one line."""
+    try:
+        cappa.invoke(Snipemount, argv=arguments)
+    except SnipemountError as error:
+        print(f"snipemount: {error}", file=sys.stderr)
+        sys.exit(error.exit_status)
+
+
+__all__ = ["Snipemount", "main"]
--- /dev/null
+++ b/src/snipemount/standins/deployments.py
@@ -0,0 +1,188 @@
+"""The two deployments of the brief, at full or reduced size."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from ..decisions.membership import Member
+from ..model.catalogue import ServiceRecord, VersionRecord
+from ..model.fleet import BackendServer, Leaf
+from ..model.profile import Profile, Route
+
+LOOPBACK = "127.0.0.1"
+
+
+@attrs.frozen
+class ServicePlan:
+    """Size of one service.
+
+    Parameters
+    ----------
+    name : str
+        Service name.
+    servers_per_zone : int
+        Backend servers in each availability zone.
+    leafs_per_server : int
+        Leafs of each server.
+    slots : int
+        Slots of each leaf.
+    connection_limit : int
+        Connections of each server.
+    connect_ms : float
+        Time that a new connection takes.
+    service_ms : float
+        Median time of one exchange.
+    repeatable : bool
+        Whether its `submit` route may be repeated; `search` always may.
+    """
+
+    name: str
+    servers_per_zone: int
+    leafs_per_server: int
+    slots: int
+    connection_limit: int
+    connect_ms: float
+    service_ms: float
+    repeatable: bool = True
+
+    @property
+    def shard_count(self) -> int:
+        """Shards; each availability zone holds one replica of each."""
+        return self.servers_per_zone * self.leafs_per_server
+
+
+@attrs.frozen
+class DeploymentPlan:
+    """Zones, daemons and services of one customer.
+
+    Parameters
+    ----------
+    name : str
+        Deployment name.
+    zones : tuple of str
+        Availability zones.
+    daemons : int
+        Entry daemons, dealt out to the zones in turn.
+    zone_distance_ms : float
+        Time between two zones, one way.
+    client_distance_ms : float
+        Time between a caller and a daemon, one way.
+    services : tuple of ServicePlan
+        Services.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    daemons: int
+    zone_distance_ms: float
+    client_distance_ms: float
+    services: tuple[ServicePlan, ...]
+
+
+class Deployment(Enum):
+    """Deployments of the brief."""
+
+    AJLOUN = DeploymentPlan(
+        "ajloun",
+        ("ajloun-a", "ajloun-b", "ajloun-c"),
+        8,
+        0.5,
+        1.0,
+        (
+            ServicePlan("fleet-finder", 7, 2, 2, 25, 6.0, 20.0),
+            ServicePlan("billing-desk", 10, 2, 2, 25, 6.0, 20.0),
+            ServicePlan("returns-hub", 2, 1, 3, 110, 1.0, 8.0, False),
+            ServicePlan("route-watch", 1, 1, 3, 110, 1.0, 8.0),
+        ),
+    )
+    YILAN = DeploymentPlan(
+        "yilan",
+        ("yilan-a", "yilan-b", "yilan-c", "yilan-d"),
+        8,
+        0.5,
+        3.0,
+        (
+            ServicePlan("bench-finder", 5, 2, 2, 25, 6.0, 20.0),
+            ServicePlan("collector-portal", 7, 2, 2, 25, 6.0, 20.0),
+            ServicePlan("order-desk", 1, 1, 6, 50, 1.0, 8.0, False),
+            ServicePlan("stock-ledger", 1, 1, 6, 50, 1.0, 8.0, False),
+        ),
+    )
+
+
+@attrs.define
+class PortCounter:
+    """Gives out port numbers for servers that listen nowhere yet."""
+
+    last: int = 20_000
+
+    def take(self) -> int:
+        """Return the next port number."""
+        self.last += 1
+        return self.last
+
+
+def build_members(plan: DeploymentPlan, ports: PortCounter) -> tuple[Member, ...]:
+    """Return the daemons of a deployment, dealt out to its zones in turn."""
+    count = len(plan.zones)
+    return tuple(
+        Member(
+            f"{plan.name}-entry-{number}",
+            plan.zones[number % count],
+            LOOPBACK,
+            ports.take(),
+        )
+        for number in range(plan.daemons)
+    )
+
+
+def build_service(
+    plan: DeploymentPlan,
+    service: ServicePlan,
+    ports: PortCounter,
+    version: str = "v1",
+    index: str = "i1",
+) -> ServiceRecord:
+    """Return a service with one replica of each shard in every zone."""
+    servers = []
+    for zone in plan.zones:
+        for number in range(service.servers_per_zone):
+            first = number * service.leafs_per_server
+            shards = range(first, first + service.leafs_per_server)
+            servers.append(
+                BackendServer(
+                    name=f"{service.name}-{version}-{zone}-{number}",
+                    zone=zone,
+                    host=LOOPBACK,
+                    port=ports.take(),
+                    leafs=tuple(Leaf(shard, service.slots) for shard in shards),
+                    connection_limit=service.connection_limit,
+                )
+            )
+    record = VersionRecord(version, index, 1, service.shard_count, tuple(servers))
+    return ServiceRecord(service.name, profile_name(service), version, (record,))
+
+
+def build_profile(service: ServicePlan) -> Profile:
+    """Return the profile that a service runs under."""
+    routes = (Route("search"), Route("submit", service.repeatable))
+    return Profile(profile_name(service), routes=routes)
+
+
+def profile_name(service: ServicePlan) -> str:
+    """Return the name of a service's profile."""
+    return f"{service.name}-profile"
+
+
+__all__ = [
+    "Deployment",
+    "DeploymentPlan",
+    "PortCounter",
+    "ServicePlan",
+    "build_members",
+    "build_profile",
+    "build_service",
+    "profile_name",
+]
--- /dev/null
+++ b/src/snipemount/standins/harness.py
@@ -0,0 +1,179 @@
+"""A deployment on loopback: platform, backend servers and daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from ..daemon import Daemon
+from ..model.catalogue import ZoneRecord
+from ..node.catalogue import converter
+from ..ports.platform import Kind
+from ..settings import (
+    DaemonSettings,
+    LogSettings,
+    PlatformSettings,
+    Settings,
+    ShutdownSettings,
+)
+from ..timers import LoopTimers
+from .backend_http import BackendStandin
+from .backend_model import BackendModel, Behaviour
+from .deployments import (
+    LOOPBACK,
+    PortCounter,
+    build_members,
+    build_profile,
+    build_service,
+)
+from .object_store import ObjectStore
+from .platform_http import PlatformStandin
+
+if TYPE_CHECKING:
+    from ..decisions.membership import Member
+    from ..model.catalogue import ServiceRecord
+    from .deployments import DeploymentPlan, ServicePlan
+
+GRACE_MS = 50.0
+
+
+def free_port() -> int:
+    """Return a TCP port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+class FreePorts(PortCounter):
+    """Gives out port numbers that nothing listens on."""
+
+    def take(self) -> int:
+        """Return a free port number."""
+        return free_port()
+
+
+@attrs.define(eq=False)
+class RunningServer:
+    """One backend server that listens."""
+
+    model: BackendModel
+    runner: web.AppRunner
+
+
+class LocalDeployment:
+    """Everything of one deployment in this process, on loopback.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        Zones, daemons and services.
+    seed : int
+        Seed of the stand-ins and daemons.
+    """
+
+    def __init__(self, plan: DeploymentPlan, seed: int) -> None:
+        self.plan = plan
+        self.seed = seed
+        self.store = ObjectStore()
+        self.platform = PlatformStandin(self.store)
+        self.platform_url = ""
+        self.daemons: dict[str, Daemon] = {}
+        self.servers: dict[str, RunningServer] = {}
+        self.services: dict[str, ServiceRecord] = {}
+        self._ports = FreePorts()
+        self._platform_runner: web.AppRunner | None = None
+        self._timers = LoopTimers(asyncio.get_running_loop())
+
+    async def start(self) -> None:
+        """Start the platform, the servers and the daemons."""
+        port = self._ports.take()
+        self.platform_url = f"http://{LOOPBACK}:{port}"
+        self._platform_runner = await _listen(self.platform.make_app(), port)
+        for service in self.plan.services:
+            await self._start_service(service)
+        members = build_members(self.plan, self._ports)
+        for member in members:
+            self.store.put(Kind.MEMBER, member.name, converter.unstructure(member))
+        for member in members:
+            await self.start_daemon(member)
+        await asyncio.gather(*(d.wait_ready() for d in self.daemons.values()))
+
+    async def start_daemon(self, member: Member) -> Daemon:
+        """Start a daemon."""
+        daemon = Daemon(self.settings_of(member), self.seed)
+        self.daemons[member.name] = daemon
+        await daemon.start()
+        return daemon
+
+    async def stop(self) -> None:
+        """Stop the daemons, then the servers and the platform."""
+        await asyncio.gather(*(daemon.stop() for daemon in self.daemons.values()))
+        for server in self.servers.values():
+            await server.runner.cleanup()
+        self.platform.faults.down = True
+        if self._platform_runner is not None:
+            await self._platform_runner.cleanup()
+
+    def settings_of(self, member: Member) -> Settings:
+        """Return the settings that a daemon of this deployment has."""
+        return Settings(
+            daemon=DaemonSettings(
+                member.name, member.zone, member.host, 0, member.mesh_port
+            ),
+            platform=PlatformSettings(self.platform_url),
+            log=LogSettings("error"),
+            shutdown=ShutdownSettings(balancer_grace_ms=GRACE_MS),
+        )
+
+    def models_of(self, service: str) -> list[BackendModel]:
+        """Return the models of a service's servers."""
+        record = self.services[service]
+        return [
+            self.servers[server.name].model
+            for version in record.versions
+            for server in version.servers
+        ]
+
+    def take_zone_out(self, zone: str, out: bool) -> None:
+        """Write to the platform whether a zone takes new work."""
+        spec = converter.unstructure(ZoneRecord(zone, out))
+        self.store.put(Kind.ZONE, zone, spec)
+
+    async def lose_server(self, name: str) -> None:
+        """End a backend server for good."""
+        server = self.servers[name]
+        server.model.behaviour.restart_ms = float("inf")
+        server.model.crash()
+        await server.runner.cleanup()
+
+    async def _start_service(self, service: ServicePlan) -> None:
+        profile = build_profile(service)
+        self.store.put(Kind.PROFILE, profile.name, converter.unstructure(profile))
+        record = build_service(self.plan, service, self._ports)
+        self.services[record.name] = record
+        shard_map = record.shard_map(record.active)
+        tokens = {shard_map.snapshot.token} if shard_map else set()
+        for server in record.versions[0].servers:
+            behaviour = Behaviour(service_ms=service.service_ms)
+            random = Random(f"{server.name}/{self.seed}")
+            model = BackendModel(server, self._timers, random, behaviour, set(tokens))
+            runner = await _listen(BackendStandin(model).make_app(), server.port)
+            self.servers[server.name] = RunningServer(model, runner)
+        self.store.put(Kind.SERVICE, record.name, converter.unstructure(record))
+
+
+async def _listen(app: web.Application, port: int) -> web.AppRunner:
+    runner = web.AppRunner(
+        app, access_log=None, handler_cancellation=True, shutdown_timeout=0.5
+    )
+    await runner.setup()
+    await web.TCPSite(runner, LOOPBACK, port).start()
+    return runner
+
+
+__all__ = ["LocalDeployment", "RunningServer", "free_port"]
--- /dev/null
+++ b/tests/steps/small_world.py
@@ -0,0 +1,121 @@
+"""A small deployment in virtual time, shared by the steps."""
+
+from __future__ import annotations
+
+import attrs
+from behave import given, then, when
+
+from snipemount.decisions.membership import Membership
+from snipemount.experiments.world import World
+from snipemount.node.sharing import OwnedSharing
+from snipemount.standins.deployments import DeploymentPlan, ServicePlan
+
+WARM_UP_MS = 6000.0
+AFTER_MS = 2000.0
+
+SMALL = DeploymentPlan(
+    "small",
+    ("zone-a", "zone-b", "zone-c"),
+    6,
+    0.5,
+    1.0,
+    (
+        ServicePlan("finder", 2, 2, 2, 25, 6.0, 20.0),
+        ServicePlan("ledger", 1, 1, 3, 110, 1.0, 8.0, False),
+    ),
+)
+
+
+def make_world(
+    seed: int = 1, adjust=lambda profile: profile, make_sharing=OwnedSharing, **options
+) -> World:
+    """Return the small deployment."""
+    return World(SMALL, seed, make_sharing, adjust, **options)
+
+
+def warm_up(world: World, queries_per_s: float = 60.0) -> None:
+    """Let the daemons learn that the servers are warm."""
+    world.load("finder", queries_per_s, WARM_UP_MS)
+    world.load("ledger", queries_per_s, WARM_UP_MS)
+    world.run_for(WARM_UP_MS + AFTER_MS)
+    world.samples.clear()
+
+
+def finished(world: World):
+    """Return the samples; each of them must have its answer by now."""
+    assert world.samples, "no request was sent"
+    open_requests = [s for s in world.samples if s.answer is None]
+    assert not open_requests, f"{len(open_requests)} requests got no answer"
+    return world.samples
+
+
+@given("a small deployment")
+def step_world(context):
+    context.world = make_world()
+
+
+@given("a small deployment under load that has warmed up")
+def step_warm_world(context):
+    context.world = make_world()
+    warm_up(context.world)
+
+
+@given("the load is {rate:g} queries a second for {seconds:g} s")
+@when("the load is {rate:g} queries a second for {seconds:g} s")
+def step_load(context, rate, seconds):
+    context.world.load("finder", rate, seconds * 1000.0)
+
+
+@when("{seconds:g} s pass")
+@then("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.world.run_for(seconds * 1000.0)
+
+
+@then("every request has one answer and its hits are right")
+def step_right(context):
+    for sample in finished(context.world):
+        assert sample.correct, f"wrong answer to {sample.request.request_id}"
+
+
+@then("at least {percent:g} in 100 answers are complete")
+def step_complete(context, percent):
+    samples = finished(context.world)
+    full = sum(sample.full for sample in samples)
+    codes = sorted({s.answer.code.name for s in samples})
+    assert full * 100.0 >= percent * len(samples), f"{full}/{len(samples)} {codes}"
+
+
+@then("every answer comes within its deadline")
+def step_in_time(context):
+    for sample in finished(context.world):
+        most_ms = sample.request.deadline_ms + 2 * SMALL.client_distance_ms
+        assert sample.elapsed_ms <= most_ms, sample.elapsed_ms
+
+
+@then("no leaf's slots and no server's connections were exceeded")
+def step_limits(context):
+    for model in context.world.models.values():
+        assert model.tally.slots_exceeded == 0, model.server.name
+        assert model.tally.connections_exceeded == 0, model.server.name
+
+
+@then("no server fell over while it was cold")
+def step_no_falls(context):
+    fallen = [m.server.name for m in context.world.models.values() if m.tally.falls]
+    assert not fallen, fallen
+
+
+def evolve_profile(**changes):
+    """Return a function that changes a profile's fields."""
+    return lambda profile: attrs.evolve(profile, **changes)
+
+
+__all__ = [
+    "SMALL",
+    "Membership",
+    "evolve_profile",
+    "finished",
+    "make_world",
+    "warm_up",
+]
--- /dev/null
+++ b/tests/steps/snapshot_steps.py
@@ -0,0 +1,82 @@
+"""Steps on snapshots."""
+
+from __future__ import annotations
+
+import attrs
+from behave import given, then, when
+from small_world import finished
+
+from snipemount.model.fleet import Leaf
+
+
+def _tokens(record):
+    return {record.shard_map(v.version).snapshot.token for v in record.versions}
+
+
+def _change_record(world, old_goes_after_ms, change):
+    record = world.services["finder"]
+    old_tokens = _tokens(record)
+    version = change(record.versions[0])
+    changed = attrs.evolve(record, versions=(version,))
+    for model in world.servers_of("finder"):
+        model.snapshots |= _tokens(changed)
+    world.put_service(changed)
+
+    def drop():
+        for model in world.servers_of("finder"):
+            model.snapshots -= old_tokens
+
+    world.timers.call_later(old_goes_after_ms, drop)
+
+
+@given("the servers of {zone} answer from another snapshot")
+def step_wrong(context, zone):
+    for model in context.world.models.values():
+        model.behaviour.wrong_snapshot = model.server.zone == zone
+
+
+@when("the index moves to {index} and the old one goes away {delay:g} ms later")
+def step_index(context, index, delay):
+    _change_record(context.world, delay, lambda v: attrs.evolve(v, index=index))
+
+
+@when("the service is repartitioned to 2 shards")
+def step_repartition(context):
+    def change(version):
+        servers = tuple(
+            attrs.evolve(s, leafs=tuple(Leaf(n, 2) for n in (0, 1)))
+            for s in version.servers
+        )
+        return attrs.evolve(version, partitioning=2, shard_count=2, servers=servers)
+
+    _change_record(context.world, 100.0, change)
+    for model in context.world.servers_of("finder"):
+        model.hold_shards((0, 1), 2)
+
+
+@when("the servers drop the old index")
+def step_drop(context):
+    for model in context.world.servers_of("finder"):
+        model.snapshots = {"finder/v1/i9/1"}
+
+
+@then("answers came from both indexes, each from one alone")
+def step_both(context):
+    tokens = {s.answer.snapshot for s in finished(context.world) if s.answer.snapshot}
+    assert tokens == {"finder/v1/i1/1", "finder/v1/i2/1"}, tokens
+
+
+@then("answers name 4 shards at first and 2 shards in the end")
+def step_totals(context):
+    totals = [s.answer.coverage.total for s in finished(context.world) if s.full]
+    assert totals[0] == 4 and totals[-1] == 2, totals
+    assert totals == sorted(totals, reverse=True)
+
+
+@then("each answer says truly that nothing ran")
+def step_not_run(context):
+    for sample in finished(context.world):
+        assert sample.answer.not_run, sample.answer
+        prefix = sample.request.request_id + "/"
+        for model in context.world.models.values():
+            assert not any(key.startswith(prefix) for key in model.ledger)
