Admission by an adaptive limit; replies matched by request and daemon

(2) A crossed reply was matched by exchange id and server alone. (3) A stopping daemon divided by a share of 0. Now: a limit on running queries per daemon, lowered while exchanges wait longer than the target; callers under their fair share get headroom. Conclusion: knowledge of the own waits beats stale knowledge of the servers.

--- a/src/snipemount/adapters/mesh_codec.py
+++ b/src/snipemount/adapters/mesh_codec.py
@@ -108,11 +108,13 @@
     def _reply(self, reply: ExchangeReply) -> list[Any]:
         return [
             reply.exchange_id,
+            self._text(reply.request_id),
             self._text(reply.server),
             reply.fate.value,
             reply.reason.value,
             [self._partial(partial) for partial in reply.partials],
             None if reply.load is None else self._load(reply.load),
+            reply.waited_ms,
         ]
 
     def _partial(self, partial: Partial) -> list[Any]:
@@ -216,14 +218,16 @@
 
 
 def _reply(fields: list[Any], texts: list[str]) -> ExchangeReply:
-    exchange_id, server, fate, reason, partials, load = fields
+    exchange_id, request_id, server, fate, reason, partials, load, waited_ms = fields
     return ExchangeReply(
         exchange_id=_integer(exchange_id),
+        request_id=texts[request_id],
         server=texts[server],
         fate=Fate(fate),
         reason=Reason(reason),
         partials=tuple(_partial(item, texts) for item in partials),
         load=None if load is None else _load(load),
+        waited_ms=float(waited_ms),
     )
 
 
--- a/src/snipemount/decisions/admission.py
+++ b/src/snipemount/decisions/admission.py
@@ -11,37 +11,63 @@
     from ..model.profile import QueueLimits
     from ..model.request import Request
 
-PRIORITY_SHARE = {Priority.URGENT: 1.0, Priority.NORMAL: 0.75, Priority.BULK: 0.4}
-OVER_FAIR_SHARE = 0.5
+PRIORITY_SHARE = {Priority.URGENT: 1.6, Priority.NORMAL: 1.0, Priority.BULK: 0.6}
+WAIT_SHARE = {Priority.URGENT: 1.0, Priority.NORMAL: 0.75, Priority.BULK: 0.4}
+OVER_FAIR_SHARE = 0.75
+UNDER_FAIR_SHARE = 1.25
+ALWAYS_ADMITTED = 1.0
+HEADROOM_UNDER = 3.0
 DEADLINE_SHARE = 0.4
+INITIAL_LIMIT = 8.0
+MOST_LIMIT = 4096.0
+WAIT_SMOOTHING = 0.1
+DECREASE = 0.98
+INCREASE = 0.2
+BUSY_SHARE = 0.7
 
 
 class Admission:
-    """Refuses a query before any leg is sent when the wait would be too long.
+    """Refuses a query before any leg is sent when there is no room for it.
 
-    A caller that has more than an even share of the running queries is refused
-    at half the wait, so that a flood of one caller leaves room for the others.
+    Two limits hold. The expected wait at the chosen servers must be short; and
+    the number of running queries must stay under a limit that falls while
+    exchanges wait longer than the target and climbs while they do not. The
+    second one needs no fresh knowledge of the servers, which the other daemons
+    are filling at the same time. A caller that has more than an even share of
+    the running queries is refused earlier than the others.
 
     Parameters
     ----------
     limits : QueueLimits
-        Longest expected wait.
+        Longest expected wait and target wait.
     """
 
     def __init__(self, limits: QueueLimits) -> None:
         self._limits = limits
         self._running: Counter[str] = Counter()
         self._total = 0
+        self._wait_ms = 0.0
+        self.limit = INITIAL_LIMIT
 
     def admits(self, request: Request, expected_wait_ms: float) -> bool:
         """Return whether the query may start."""
+        share = self._fair_share(request.caller)
+        most = self.limit * PRIORITY_SHARE[request.priority] * share
+        headroom = HEADROOM_UNDER if share > 1.0 else ALWAYS_ADMITTED
+        if self._total >= most + headroom:
+            return False
         most_ms = min(
             self._limits.admission_wait_ms, request.deadline_ms * DEADLINE_SHARE
         )
-        most_ms *= PRIORITY_SHARE[request.priority]
-        if self._over_fair_share(request.caller):
-            most_ms *= OVER_FAIR_SHARE
-        return expected_wait_ms <= most_ms
+        return expected_wait_ms <= most_ms * WAIT_SHARE[request.priority] * share**2
+
+    def observe(self, waited_ms: float) -> None:
+        """Learn how long an exchange waited at its owner."""
+        self._wait_ms += WAIT_SMOOTHING * (waited_ms - self._wait_ms)
+        if self._wait_ms > self._limits.target_wait_ms:
+            self.limit = max(ALWAYS_ADMITTED, self.limit * DECREASE)
+        elif self._total >= self.limit * BUSY_SHARE:
+            self.limit = min(MOST_LIMIT, self.limit + INCREASE)
 
     def started(self, caller: str) -> None:
         """Count a running query of `caller`."""
@@ -55,11 +81,12 @@
         if self._running[caller] <= 0:
             del self._running[caller]
 
-    def _over_fair_share(self, caller: str) -> bool:
-        callers = len(self._running)
-        if callers < 2:
-            return False
-        return self._running[caller] * callers > self._total
+    def _fair_share(self, caller: str) -> float:
+        others = len(self._running) - (caller in self._running)
+        if others == 0:
+            return 1.0
+        over = self._running[caller] * (others + 1) > self._total
+        return OVER_FAIR_SHARE if over else UNDER_FAIR_SHARE
 
 
 __all__ = ["Admission"]
--- a/src/snipemount/decisions/fleet_view.py
+++ b/src/snipemount/decisions/fleet_view.py
@@ -26,7 +26,13 @@
     }
 )
 PAUSE_REASONS = frozenset(
-    {Reason.SHED, Reason.QUEUE_FULL, Reason.NOT_OWNER, Reason.EJECTED}
+    {
+        Reason.SHED,
+        Reason.QUEUE_FULL,
+        Reason.NOT_OWNER,
+        Reason.EJECTED,
+        Reason.WARMING_UP,
+    }
 )
 SERVER_LOST_REASONS = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_LOST})
 
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -21,6 +21,7 @@
 LEAST_ATTEMPT_MS = 5.0
 TIMER_SLACK_MS = 0.5
 MOST_ATTEMPTS_PER_SHARD = 4
+PASSED_OVER_REASONS = frozenset({Reason.EJECTED, Reason.WARMING_UP})
 NO_ROOM_REASONS = frozenset(
     {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.SHED, Reason.CANCELLED}
 )
@@ -277,7 +278,7 @@
         placement = self._state.placer.place(
             self._map, shards, now_ms, self._tried, allow_ejected=False
         )
-        if not placement.placed and reply.reason is Reason.EJECTED:
+        if not placement.placed and reply.reason in PASSED_OVER_REASONS:
             placement = self._state.placer.place(self._map, shards, now_ms)
         if not placement.placed:
             return []
--- a/src/snipemount/decisions/server_owner.py
+++ b/src/snipemount/decisions/server_owner.py
@@ -23,6 +23,7 @@
 SERVICE_SMOOTHING = 0.05
 SPARE_CONNECTIONS = 2
 LEAST_BUDGET_MS = 1.0
+MOST_COLD_WAIT_MS = 10.0
 CERTAIN_FAILURES = frozenset({Reason.CONNECTION_LOST, Reason.WRONG_SNAPSHOT})
 
 
@@ -342,10 +343,18 @@
             return Reason.QUEUE_TIMEOUT
         if any(shard not in self._leaf_slots for shard in held.exchange.shards):
             return Reason.SNAPSHOT_GONE
-        if not held.exchange.last_resort and not self._breaker.allows(now_ms):
+        if held.exchange.last_resort:
+            return Reason.NONE
+        if not self._breaker.allows(now_ms):
             return Reason.EJECTED
+        if self._guard.cold and not self._has_room_while_cold(now_ms):
+            return Reason.WARMING_UP
         return Reason.NONE
 
+    def _has_room_while_cold(self, now_ms: float) -> bool:
+        paused = self._not_before_ms - now_ms > MOST_COLD_WAIT_MS
+        return not self._queue and not paused
+
     def _enqueue(self, held: Held) -> None:
         index = len(self._queue)
         priority = held.exchange.priority
@@ -409,7 +418,7 @@
     def _pace(self, latency_ms: float, now_ms: float) -> None:
         """Space out the exchanges of a server given less than one slot."""
         share = self.slots * self._guard.fraction
-        if share < 1.0:
+        if 0.0 < share < 1.0:
             self._not_before_ms = now_ms + latency_ms * (1.0 / share - 1.0)
 
     def _on_answered(
@@ -473,10 +482,12 @@
     def _report(self, held: Held, fate: Fate, reason: Reason, now_ms: float) -> Reply:
         reply = ExchangeReply(
             exchange_id=held.origin.exchange_id,
+            request_id=held.exchange.request_id,
             server=self.server.name,
             fate=fate,
             reason=reason,
             load=self.load(now_ms),
+            waited_ms=(held.sent_ms or now_ms) - held.arrived_ms,
         )
         return Reply(held.origin, reply)
 
--- a/src/snipemount/decisions/service_state.py
+++ b/src/snipemount/decisions/service_state.py
@@ -69,6 +69,8 @@
     ) -> None:
         """Learn from the end of an exchange."""
         self.fleet.note_reply(reply, now_ms)
+        if reply.load is not None:
+            self.admission.observe(reply.waited_ms)
         if reply.reason in FAILURE_REASONS:
             self.budget.note_fault(now_ms)
         if reply.fate is Fate.ANSWERED and not hedged:
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -14,6 +14,7 @@
 from ..node.catalogue import converter
 from ..node.node import Node, Ports
 from ..node.sharing import OwnedSharing, Sharing
+from ..ports.peer import ReportWarm
 from ..ports.platform import Kind
 from ..standins.backend_model import BackendModel, Behaviour, canonical_query, leaf_hits
 from ..standins.deployments import (
@@ -164,6 +165,8 @@
         self.mesh.nodes[member.name] = node
         self.mesh.processes[member.name] = process
         node.start()
+        if self._warm:
+            node.received("former-owner", ReportWarm(tuple(self.models)))
         return daemon
 
     def kill_daemon(self, name: str) -> None:
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -90,6 +90,12 @@
     exchange: Exchange
     daemon: str
 
+    def matches(self, reply: ExchangeReply, daemon: str) -> bool:
+        """Return whether `reply` from `daemon` is the end of this exchange."""
+        exchange = self.exchange
+        same = reply.request_id == exchange.request_id
+        return same and reply.server == exchange.server and daemon == self.daemon
+
 
 class EntryDriver:
     """Admits requests and runs each one on one pinned snapshot.
@@ -165,28 +171,24 @@
         if job is not None and job.run is not None and job.request.repeatable:
             self._carry_out(job, job.run, job.run.abandon(self._timers.now_ms()))
 
-    def replied(self, reply: ExchangeReply) -> None:
-        """Take the end of an exchange; late ones are dropped."""
-        pending = self._pending.pop(reply.exchange_id, None)
-        if pending is None:
-            return
-        if reply.server != pending.exchange.server:
-            self._pending[reply.exchange_id] = pending
+    def replied(self, reply: ExchangeReply, daemon: str) -> None:
+        """Take the end of an exchange from the daemon that had it.
+
+        Late replies and those that belong to another exchange are dropped.
+        """
+        pending = self._pending.get(reply.exchange_id)
+        if pending is None or not pending.matches(reply, daemon):
             return
+        del self._pending[reply.exchange_id]
         run, job = pending.run, pending.job
         self._learn(job, pending.exchange, reply)
         self._carry_out(job, run, run.replied(reply, self._timers.now_ms()))
 
     def daemon_lost(self, daemon: str) -> None:
         """End every exchange that was with a daemon whose connection broke."""
-        for exchange_id, pending in list(self._pending.items()):
+        for pending in list(self._pending.values()):
             if pending.daemon == daemon:
-                self._synthesize(
-                    exchange_id,
-                    pending.exchange.server,
-                    Fate.MAY_HAVE_RUN,
-                    Reason.PEER_LOST,
-                )
+                self._end(pending.exchange, Fate.MAY_HAVE_RUN, Reason.PEER_LOST)
 
     def state(self, service: str) -> ServiceState | None:
         """Return the state of a service, made on first use."""
@@ -352,22 +354,22 @@
         pending = Pending(job, run, exchange, "")
         self._pending[exchange.exchange_id] = pending
         daemon = self._route_exchange(exchange)
-        if daemon is None:
-            self._timers.call_soon(
-                lambda: self._synthesize(
-                    exchange.exchange_id,
-                    exchange.server,
-                    Fate.NOT_SENT,
-                    Reason.NOT_OWNER,
-                )
-            )
+        if daemon is not None:
+            pending.daemon = daemon
             return
-        pending.daemon = daemon
+        self._timers.call_soon(
+            lambda: self._end(exchange, Fate.NOT_SENT, Reason.NOT_OWNER)
+        )
 
-    def _synthesize(
-        self, exchange_id: int, server: str, fate: Fate, reason: Reason
-    ) -> None:
-        self.replied(ExchangeReply(exchange_id, server, fate, reason))
+    def _end(self, exchange: Exchange, fate: Fate, reason: Reason) -> None:
+        """End an exchange of which no daemon will tell."""
+        pending = self._pending.get(exchange.exchange_id)
+        if pending is None:
+            return
+        reply = ExchangeReply(
+            exchange.exchange_id, exchange.request_id, exchange.server, fate, reason
+        )
+        self.replied(reply, pending.daemon)
 
     def _cancel(self, exchange_id: int, server: str) -> None:
         pending = self._pending.get(exchange_id)
@@ -402,12 +404,7 @@
     def _forget(self, run: QueryRun) -> None:
         """Stop waiting for exchanges whose end was never told."""
         for exchange in run.outstanding:
-            self._synthesize(
-                exchange.exchange_id,
-                exchange.server,
-                Fate.MAY_HAVE_RUN,
-                Reason.PEER_LOST,
-            )
+            self._end(exchange, Fate.MAY_HAVE_RUN, Reason.PEER_LOST)
 
     def _settle(self, job: Job, claim: ClaimRecord, answer: Answer) -> None:
         """Store the outcome under the claimed key."""
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -140,7 +140,7 @@
             case WithdrawExchange(exchange_id, server):
                 self.owner.cancel(Origin(sender, exchange_id), server)
             case ReportExchange(reply):
-                self.entry.replied(reply)
+                self.entry.replied(reply, sender)
             case ReportStrike(notice):
                 self.quarantine.strike(notice, self._timers.now_ms())
             case ReportWarm(servers):
@@ -210,7 +210,7 @@
 
     def _exchange_ended(self, origin: Origin, reply: ExchangeReply) -> None:
         if origin.daemon == self.own.name:
-            self._timers.call_soon(lambda: self.entry.replied(reply))
+            self._timers.call_soon(lambda: self.entry.replied(reply, origin.daemon))
             return
         member = self._member(origin.daemon)
         if member is not None:
--- a/src/snipemount/node/owner.py
+++ b/src/snipemount/node/owner.py
@@ -141,9 +141,12 @@
         """Hand an exchange to the owner of its server."""
         owner = self._owners.get(exchange.server)
         if owner is None or self._stopping:
-            reason = Reason.NOT_OWNER
             reply = ExchangeReply(
-                origin.exchange_id, exchange.server, Fate.NOT_SENT, reason
+                exchange_id=origin.exchange_id,
+                request_id=exchange.request_id,
+                server=exchange.server,
+                fate=Fate.NOT_SENT,
+                reason=Reason.NOT_OWNER,
             )
             self._on_reply(origin, reply)
             return
