--- a/src/snipemount/decisions/admission.py
+++ b/src/snipemount/decisions/admission.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from ..model.request import Priority
+from .fair_share import FairShare
 
 if TYPE_CHECKING:
     from ..model.profile import QueueLimits
@@ -13,6 +13,8 @@
 
 PRIORITY_SHARE = {Priority.URGENT: 1.6, Priority.NORMAL: 1.0, Priority.BULK: 0.6}
 WAIT_SHARE = {Priority.URGENT: 1.0, Priority.NORMAL: 0.75, Priority.BULK: 0.4}
+OVER_RATIO = 1.5
+UNDER_RATIO = 0.75
 OVER_FAIR_SHARE = 0.75
 UNDER_FAIR_SHARE = 1.25
 ALWAYS_ADMITTED = 1.0
@@ -33,8 +35,8 @@
     the number of running queries must stay under a limit that falls while
     exchanges wait longer than the target and climbs while they do not. The
     second one needs no fresh knowledge of the servers, which the other daemons
-    are filling at the same time. A caller that has more than an even share of
-    the running queries is refused earlier than the others.
+    are filling at the same time. A caller that has had more than an even
+    share of late is refused earlier than the others.
 
     Parameters
     ----------
@@ -44,14 +46,14 @@
 
     def __init__(self, limits: QueueLimits) -> None:
         self._limits = limits
-        self._running: Counter[str] = Counter()
+        self._fair_share = FairShare()
         self._total = 0
         self._wait_ms = 0.0
         self.limit = INITIAL_LIMIT
 
-    def admits(self, request: Request, expected_wait_ms: float) -> bool:
+    def admits(self, request: Request, expected_wait_ms: float, now_ms: float) -> bool:
         """Return whether the query may start."""
-        share = self._fair_share(request.caller)
+        share = self._share(request.caller, now_ms)
         most = self.limit * PRIORITY_SHARE[request.priority] * share
         headroom = HEADROOM_UNDER if share > 1.0 else ALWAYS_ADMITTED
         if self._total >= most + headroom:
@@ -69,24 +71,22 @@
         elif self._total >= self.limit * BUSY_SHARE:
             self.limit = min(MOST_LIMIT, self.limit + INCREASE)
 
-    def started(self, caller: str) -> None:
+    def started(self, caller: str, now_ms: float) -> None:
         """Count a running query of `caller`."""
-        self._running[caller] += 1
+        self._fair_share.admitted(caller, now_ms)
         self._total += 1
 
-    def ended(self, caller: str) -> None:
-        """Stop counting a query of `caller`."""
+    def ended(self) -> None:
+        """Stop counting a query."""
         self._total -= 1
-        self._running[caller] -= 1
-        if self._running[caller] <= 0:
-            del self._running[caller]
 
-    def _fair_share(self, caller: str) -> float:
-        others = len(self._running) - (caller in self._running)
-        if others == 0:
+    def _share(self, caller: str, now_ms: float) -> float:
+        if not self._fair_share.is_contended(caller, now_ms):
             return 1.0
-        over = self._running[caller] * (others + 1) > self._total
-        return OVER_FAIR_SHARE if over else UNDER_FAIR_SHARE
+        ratio = self._fair_share.ratio(caller, now_ms)
+        if ratio > OVER_RATIO:
+            return OVER_FAIR_SHARE
+        return UNDER_FAIR_SHARE if ratio < UNDER_RATIO else 1.0
 
 
 __all__ = ["Admission"]
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -126,6 +126,7 @@
         self._all_not_run = True
         self._no_room = False
         self._crashed = False
+        self._admitted = False
         self._gone = False
         self.finished = False
 
@@ -144,8 +145,12 @@
         placement = self._state.placer.place(self._map, self._shards, now_ms)
         if not placement.placed:
             return [self._finish_refused(ResultCode.NO_BACKEND, now_ms)]
-        if not self._state.admission.admits(self.request, placement.expected_wait_ms):
+        if not self._state.admission.admits(
+            self.request, placement.expected_wait_ms, now_ms
+        ):
             return [self._finish_refused(ResultCode.OVERLOADED, now_ms)]
+        self._admitted = True
+        self._state.admission.started(self.request.caller, now_ms)
         for shard in placement.unplaced:
             self._merge.note_failure(shard, Reason.NO_REPLICA)
         placed = list(placement.placed)
@@ -373,6 +378,8 @@
 
     def _finish(self, now_ms: float) -> list[RunAction]:
         self.finished = True
+        if self._admitted:
+            self._state.admission.ended()
         actions: list[RunAction] = [self._cancel(sent) for sent in self._sent.values()]
         answer = self._answer(now_ms)
         left_ms = self._deadline_ms - now_ms
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -280,8 +280,6 @@
         run = QueryRun(
             request, shard_map, shards, state, left, job.started_ms, job.restarts
         )
-        if job.run is None:
-            state.admission.started(request.caller)
         job.run = run
         self._carry_out(job, run, run.start(self._timers.now_ms()))
 
@@ -384,10 +382,6 @@
     def _finish(self, job: Job, answer: Answer) -> None:
         request = job.request
         self._jobs.pop(request.request_id, None)
-        if job.run is not None:
-            state = self.state(request.service)
-            if state is not None:
-                state.admission.ended(request.caller)
         self._release_waiting(job)
         answer.elapsed_ms = self._timers.now_ms() - job.started_ms
         if job.claim is not None:
