--- a/src/snipemount/decisions/connections.py
+++ b/src/snipemount/decisions/connections.py
@@ -139,14 +139,13 @@
         return [self._ping(connection, now_ms) for connection in idle]
 
     def open_for(self, wanted: int, now_ms: float) -> list[ConnectionAction]:
-        """Open what `wanted` waiting exchanges and the warm stock need."""
-        opening = self._count(ConnectionState.OPENING)
-        idle = self._count(ConnectionState.IDLE)
+        """Open what `wanted` exchanges without a connection and the stock need."""
+        missing = self._warm - len(self._connections)
+        if wanted:
+            missing = max(missing, wanted - self._count(ConnectionState.OPENING))
         room = self._limit - len(self._connections)
-        needed = max(wanted - opening, self._warm - len(self._connections), 0)
-        if wanted <= opening + idle and len(self._connections) >= self._warm:
-            needed = 0
-        return [self._open(now_ms) for _ in range(min(needed, max(0, room)))]
+        count = min(missing, room)
+        return [self._open(now_ms) for _ in range(count)]
 
     def tick(self, now_ms: float) -> list[ConnectionAction]:
         """Close what does not answer a ping; ping what has long been idle."""
--- a/src/snipemount/decisions/membership.py
+++ b/src/snipemount/decisions/membership.py
@@ -50,11 +50,18 @@
         This daemon.
     now_ms : float
         Time of its start.
+
+    Attributes
+    ----------
+    generation : int
+        Grows whenever the set of daemons may have changed.
     """
 
     def __init__(self, own: Member, now_ms: float) -> None:
         self.own = own
         self._members: dict[str, Member] = {own.name: own}
+        self._ordered: tuple[Member, ...] = (own,)
+        self.generation = 0
         self._heard_ms: dict[str, float] = {}
         self._left: set[str] = set()
         self._last_tick_ms = now_ms
@@ -63,7 +70,7 @@
     @property
     def members(self) -> tuple[Member, ...]:
         """All daemons that have not left, alive or not, in order of name."""
-        return tuple(self._members[name] for name in sorted(self._members))
+        return self._ordered
 
     def member(self, name: str) -> Member | None:
         """Return the daemon called `name` unless it has left."""
@@ -97,20 +104,24 @@
             if not self.is_alive(name, now_ms):
                 del self._members[name]
         self._left &= names
+        self._reorder()
 
     def heard(self, member: Member, now_ms: float) -> None:
         """Take a heartbeat of another daemon."""
         if member.name == self.own.name:
             return
         self._left.discard(member.name)
-        self._members[member.name] = member
         self._heard_ms[member.name] = now_ms
+        if self._members.get(member.name) != member:
+            self._members[member.name] = member
+            self._reorder()
 
     def left(self, name: str) -> None:
         """Take a daemon's word that it has stopped."""
         self._left.add(name)
         self._members.pop(name, None)
         self._heard_ms.pop(name, None)
+        self._reorder()
 
     def is_settled(self, now_ms: float) -> bool:
         """Return whether the view is old enough to act on."""
@@ -132,5 +143,10 @@
         """Return the daemons that were heard lately, this one among them."""
         return tuple(m for m in self.members if self.is_alive(m.name, now_ms))
 
+    def _reorder(self) -> None:
+        """Take note that the set of daemons may have changed."""
+        self._ordered = tuple(self._members[name] for name in sorted(self._members))
+        self.generation += 1
+
 
 __all__ = ["HEARTBEAT_PERIOD_MS", "Member", "Membership"]
--- a/src/snipemount/decisions/ownership.py
+++ b/src/snipemount/decisions/ownership.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from ..model.fleet import BackendServer
-    from .membership import Member, Membership
+    from .membership import Membership
 
 
 @attrs.frozen
@@ -55,13 +55,12 @@
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
         self._orders: dict[tuple[str, str], tuple[str, ...]] = {}
-        self._known: tuple[Member, ...] = ()
+        self._generation = -1
 
     def order(self, server: BackendServer) -> tuple[str, ...]:
         """Return the daemons that may own `server`, first choice first."""
-        members = self._membership.members
-        if members != self._known:
-            self._known = members
+        if self._generation != self._membership.generation:
+            self._generation = self._membership.generation
             self._orders.clear()
         key = (server.zone, server.name)
         found = self._orders.get(key)
@@ -91,8 +90,9 @@
         return self._smaller(server)
 
     def _compute_order(self, server: BackendServer) -> tuple[str, ...]:
-        in_zone = [m for m in self._known if m.zone == server.zone]
-        candidates = in_zone or list(self._known)
+        members = self._membership.members
+        in_zone = [m for m in members if m.zone == server.zone]
+        candidates = in_zone or list(members)
         ranked = sorted(
             candidates,
             key=lambda m: (-rendezvous_weight(m.name, server.name), m.name),
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -127,6 +127,7 @@
         self._no_room = False
         self._crashed = False
         self._admitted = False
+        self._hedge_wake_ms = -1.0
         self._gone = False
         self.finished = False
 
@@ -187,7 +188,9 @@
             return []
         if now_ms >= self._deadline_ms:
             return self._finish(now_ms)
-        return self._hedge(now_ms)
+        actions = self._hedge(now_ms)
+        actions += self._hedge_timer(now_ms)
+        return actions
 
     def abandon(self, now_ms: float) -> list[RunAction]:
         """Stop because the caller has gone away."""
@@ -277,7 +280,10 @@
     def _retry(
         self, sent: Sent, reply: ExchangeReply, now_ms: float
     ) -> list[RunAction]:
-        shards = self._uncovered(sent.exchange.shards)
+        """Send again what no exchange under way will answer."""
+        answered = reply.fate is Fate.ANSWERED
+        wanted = self._merge.unanswered() if answered else sent.exchange.shards
+        shards = self._uncovered(wanted)
         if not shards or not self._may_retry(shards, reply, now_ms):
             return []
         placement = self._state.placer.place(
@@ -290,7 +296,9 @@
         free = reply.fate is Fate.NOT_SENT
         if not free and not self._state.budget.take(len(placement.placed)):
             return []
-        return self._send_all(list(placement.placed), Attempt.RETRY, now_ms)
+        actions = self._send_all(list(placement.placed), Attempt.RETRY, now_ms)
+        actions += self._hedge_timer(now_ms)
+        return actions
 
     def _may_retry(
         self, shards: tuple[int, ...], reply: ExchangeReply, now_ms: float
@@ -303,7 +311,8 @@
             return False
         if reply.fate.not_run:
             return True
-        return self.request.repeatable and not self._crashed
+        crash_unexplained = self._crashed and not self._proven
+        return self.request.repeatable and not crash_unexplained
 
     def _uncovered(self, shards: tuple[int, ...]) -> tuple[int, ...]:
         """Return those of `shards` unanswered and under way nowhere."""
@@ -317,9 +326,17 @@
         )
 
     def _hedge_timer(self, now_ms: float) -> list[RunAction]:
+        """Wake when the next exchange counts as slow, unless already set."""
         if not self._may_hedge():
             return []
-        return [WakeAt(now_ms + self._state.hedge_delay_ms)]
+        due = [sent.hedge_at_ms for sent in self._sent.values() if not sent.hedged]
+        if not due:
+            return []
+        next_ms = max(now_ms, min(due))
+        if now_ms < self._hedge_wake_ms <= next_ms:
+            return []
+        self._hedge_wake_ms = next_ms
+        return [WakeAt(next_ms)]
 
     def _may_hedge(self) -> bool:
         allowed = self._state.profile.hedging and self.request.repeatable
@@ -327,7 +344,7 @@
 
     def _hedge(self, now_ms: float) -> list[RunAction]:
         actions: list[RunAction] = []
-        if not self._may_hedge() or self._crashed:
+        if not self._may_hedge():
             return actions
         for sent in list(self._sent.values()):
             if sent.hedged or sent.hedge_at_ms > now_ms + TIMER_SLACK_MS:
--- a/src/snipemount/node/sharing.py
+++ b/src/snipemount/node/sharing.py
@@ -5,7 +5,12 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from ..decisions.ownership import NO_SHARE, OwnerShare, Ownership
+from ..decisions.ownership import (
+    NO_SHARE,
+    OwnerShare,
+    Ownership,
+    rendezvous_weight,
+)
 
 if TYPE_CHECKING:
     from ..decisions.membership import Membership
@@ -74,13 +79,17 @@
 
     def share(self, server: BackendServer, now_ms: float) -> OwnerShare:
         """Return the part of `server` that falls to this daemon."""
-        names = [member.name for member in self._membership.members]
-        rank = names.index(self._membership.own.name)
-        count = len(names)
-        slots = self._part(server.slots, rank, count)
+        own = self._membership.own
+        if server.zone != own.zone:
+            return NO_SHARE
+        names = [m.name for m in self._membership.members if m.zone == own.zone]
+        names.sort(key=lambda name: rendezvous_weight(name, server.name))
+        rank = names.index(own.name)
+        slots = self._part(server.slots, rank, len(names))
         if slots == 0:
             return NO_SHARE
-        return OwnerShare(slots, self._part(server.connection_limit, rank, count))
+        connections = self._part(server.connection_limit, rank, len(names))
+        return OwnerShare(slots, connections)
 
     @staticmethod
     def _part(whole: int, rank: int, count: int) -> int:
--- a/src/snipemount/queries/experiment.py
+++ b/src/snipemount/queries/experiment.py
@@ -2,11 +2,46 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+import sys
+from enum import Enum
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
 
 import attrs
 import cappa
 
+from ..errors import ResultCode, SnipemountError
+from ..experiments import serving
+from ..experiments.report import Report, plot, to_text
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ExperimentName(Enum):
+    """Experiments, and what each measures."""
+
+    STRAGGLERS = "stragglers"
+    LOST_REPLICA = "lost-replica"
+    OVERLOAD = "overload"
+    COLD_JOIN = "cold-join"
+    SILENT = "silent"
+    POISON = "poison"
+    OWNERSHIP = "ownership"
+    PROVING = "proving"
+
+
+EXPERIMENTS: dict[ExperimentName, Callable[[], Report]] = {
+    ExperimentName.STRAGGLERS: serving.stragglers,
+    ExperimentName.LOST_REPLICA: serving.lost_replica,
+    ExperimentName.OVERLOAD: serving.overload,
+    ExperimentName.COLD_JOIN: serving.cold_join,
+    ExperimentName.SILENT: serving.silent,
+    ExperimentName.POISON: serving.poison,
+    ExperimentName.OWNERSHIP: serving.ownership,
+    ExperimentName.PROVING: serving.proving,
+}
+
 
 @cappa.command(name="experiment", help="Measure one matter in virtual time.")
 @attrs.define
@@ -15,14 +50,31 @@
 
     Parameters
     ----------
-    name : str
-        Name of the experiment.
+    name : ExperimentName
+        What to measure.
+    plot : Path or None
+        File for a plot.
     """
 
-    name: Annotated[str, cappa.Arg(help="Name of the experiment.")]
+    name: Annotated[ExperimentName, cappa.Arg(help="What to measure.")]
+    plot: Annotated[Path | None, cappa.Arg(long=True, help="Plot file.")] = None
 
     def __call__(self) -> None:
-        """Run the experiment and print its table."""
+        """Print the table; the exit status tells whether all targets are met."""
+        report = EXPERIMENTS[self.name]()
+        print(to_text(report))
+        if self.plot is not None:
+            self._plot(report, self.plot)
+        if not all(target.met for target in report.targets):
+            sys.exit(1)
+
+    @staticmethod
+    def _plot(report: Report, path: Path) -> None:
+        try:
+            plot(report, path)
+        except ModuleNotFoundError as error:
+            detail = "plots need the extra: pip install 'snipemount[plots]'"
+            raise SnipemountError(ResultCode.INTERNAL, detail) from error
 
 
-__all__ = ["Experiment"]
+__all__ = ["Experiment", "ExperimentName"]
--- a/src/snipemount/standins/backend_model.py
+++ b/src/snipemount/standins/backend_model.py
@@ -6,6 +6,7 @@
 import json
 import math
 from collections import Counter, deque
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import attrs
@@ -110,6 +111,7 @@
     last_start_ms: float = -1.0
 
 
+@lru_cache(maxsize=4096)
 def leaf_hits(snapshot: str, shard: int, query: str, top_k: int) -> tuple[Hit, ...]:
     """Return the hits that a leaf gives; the same on every replica."""
     seed = hashlib.blake2b(f"{snapshot}|{shard}|{query}".encode(), digest_size=32)
