Version moves, judged by all daemons; peers pass configuration on

A move is an object; each daemon works its share out from it, raises it only on clean evidence and while it hears most daemons, and drops it on anyone's. Evidence is a cumulative sum for each route and zone; without the worst zone it must still pass the alarm. Found: (1) servers warming up were excused for ever, so a version three times as slow was completed; now for 30 s, and a move without proof by its finishing time is taken back. (3) A daemon cut off from the platform asked no peer, since each heartbeat of an equally old peer reset its patience: 60 s and more; now 600 ms at worst.

--- a/src/snipemount/adapters/mesh_codec.py
+++ b/src/snipemount/adapters/mesh_codec.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
+import attrs
 import cbor2
 
 from ..decisions.membership import Member
+from ..decisions.move_judge import EvidenceShare
 from ..decisions.quarantine import StrikeNotice
 from ..errors import DecodeError
 from ..model.exchange import (
@@ -21,15 +24,20 @@
 )
 from ..model.request import Priority
 from ..ports.peer import (
+    AskCatalogue,
     Goodbye,
     Heartbeat,
     PeerMessage,
+    ReportBadMove,
+    ReportEvidence,
     ReportExchange,
     ReportStrike,
     ReportWarm,
     SubmitExchange,
+    TellCatalogue,
     WithdrawExchange,
 )
+from ..ports.platform import Kind, StoredObject
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 4_000_000
@@ -41,6 +49,10 @@
 TAG_REPORT = 5
 TAG_STRIKE = 6
 TAG_WARM = 7
+TAG_EVIDENCE = 8
+TAG_BAD_MOVE = 9
+TAG_ASK = 10
+TAG_TELL = 11
 
 
 class FrameEncoder:
@@ -63,9 +75,10 @@
             case WithdrawExchange(exchange_id, server):
                 text = self._text(server)
                 self._messages.append([TAG_WITHDRAW, exchange_id, text])
-            case Heartbeat(member):
+            case Heartbeat(member, versions):
                 fields = [member.name, member.zone, member.host, member.mesh_port]
-                self._messages.append([TAG_HEARTBEAT, *fields, member.leaving])
+                fields += [member.leaving, versions]
+                self._messages.append([TAG_HEARTBEAT, *fields])
             case Goodbye(name):
                 self._messages.append([TAG_GOODBYE, name])
             case ReportStrike(notice):
@@ -73,6 +86,15 @@
                 self._messages.append([TAG_STRIKE, *fields])
             case ReportWarm(servers):
                 self._messages.append([TAG_WARM, servers])
+            case ReportEvidence(share):
+                self._messages.append([TAG_EVIDENCE, *attrs.astuple(share)])
+            case ReportBadMove(move_id, reason):
+                self._messages.append([TAG_BAD_MOVE, move_id, reason])
+            case AskCatalogue(kind, version):
+                self._messages.append([TAG_ASK, kind.value, version])
+            case TellCatalogue(kind, version, objects):
+                specs = [[o.name, o.version, o.spec] for o in objects]
+                self._messages.append([TAG_TELL, kind.value, version, specs])
 
     def take(self) -> bytes:
         """Return the frame and begin a new one."""
@@ -170,7 +192,7 @@
             exchange_id, server = rest
             return WithdrawExchange(_integer(exchange_id), texts[server])
         case 1:
-            name, zone, host, port, leaving = rest
+            name, zone, host, port, leaving, versions = rest
             member = Member(
                 _string(name),
                 _string(zone),
@@ -178,7 +200,7 @@
                 _integer(port),
                 bool(leaving),
             )
-            return Heartbeat(member)
+            return Heartbeat(member, tuple(_integer(v) for v in versions))
         case 2:
             (name,) = rest
             return Goodbye(_string(name))
@@ -191,9 +213,41 @@
         case 7:
             (servers,) = rest
             return ReportWarm(tuple(_string(server) for server in servers))
+        case 8:
+            return ReportEvidence(_evidence(rest))
+        case 9:
+            move_id, reason = rest
+            return ReportBadMove(_string(move_id), _string(reason))
+        case 10:
+            kind, known = rest
+            return AskCatalogue(Kind(kind), _integer(known))
+        case 11:
+            kind, known, specs = rest
+            objects = tuple(_stored(Kind(kind), item) for item in specs)
+            return TellCatalogue(Kind(kind), _integer(known), objects)
     raise DecodeError(f"unknown message tag {tag!r}")
 
 
+def _evidence(fields: list[Any]) -> EvidenceShare:
+    move_id, route, zone, seen, samples, failures, slowness = fields
+    return EvidenceShare(
+        _string(move_id),
+        _string(route),
+        _string(zone),
+        _integer(seen),
+        _integer(samples),
+        _finite(failures),
+        _finite(slowness),
+    )
+
+
+def _stored(kind: Kind, fields: list[Any]) -> StoredObject:
+    name, version, spec = fields
+    if type(spec) is not dict:
+        raise DecodeError("an object's spec must be a map")
+    return StoredObject(kind, _string(name), _integer(version), spec)
+
+
 def _exchange(fields: list[Any], texts: list[str]) -> Exchange:
     shards = tuple(_integer(shard) for shard in fields[5])
     return Exchange(
@@ -259,6 +313,12 @@
     return value
 
 
+def _finite(value: object) -> float:
+    if type(value) is not float or not math.isfinite(value):
+        raise DecodeError("a finite number is expected")
+    return value
+
+
 def _string(value: object) -> str:
     if type(value) is not str:
         raise DecodeError("a text is expected")
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -141,6 +141,10 @@
         """Exchanges that have not ended."""
         return tuple(sent.exchange for sent in self._sent.values())
 
+    def zone_of(self, server: str) -> str:
+        """Return the availability zone of a server of the pinned map."""
+        return self._map.by_name[server].zone
+
     def start(self, now_ms: float) -> list[RunAction]:
         """Admit the query and send its first exchanges, or refuse it."""
         placement = self._state.placer.place(self._map, self._shards, now_ms)
--- a/src/snipemount/decisions/service_state.py
+++ b/src/snipemount/decisions/service_state.py
@@ -17,6 +17,7 @@
     from random import Random
 
     from ..model.exchange import ExchangeReply
+    from ..model.fleet import ShardMap
     from ..model.profile import Profile
 
 INITIAL_HEDGE_DELAY_MS = 60.0
@@ -64,6 +65,18 @@
         """Time after which an exchange counts as slow."""
         return max(LEAST_HEDGE_DELAY_MS, self._slow.value_ms)
 
+    def has_room(self, shard_map: ShardMap, now_ms: float) -> bool:
+        """Return whether every shard of a map has a server with a short wait."""
+        shards = range(shard_map.shard_count)
+        placement = self.placer.place(shard_map, shards, now_ms)
+        longest_ms = self.profile.queue.target_wait_ms
+        return not placement.unplaced and placement.expected_wait_ms <= longest_ms
+
+    def exchanges_for(self, shard_map: ShardMap, now_ms: float) -> int:
+        """Return how many exchanges a query on this map takes."""
+        shards = range(shard_map.shard_count)
+        return len(self.placer.place(shard_map, shards, now_ms).placed)
+
     def observe(
         self, sent_ms: float, hedged: bool, reply: ExchangeReply, now_ms: float
     ) -> None:
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -303,6 +303,11 @@
         self._store = store
         self._timers = timers
         self._faults = faults
+        self.cut_off = False
+
+    @property
+    def _down(self) -> bool:
+        return self._faults.down or self.cut_off
 
     def read(self, kind: Kind, name: str, done: Callable[[ReadResult], None]) -> None:
         """Read one object."""
@@ -337,7 +342,7 @@
         """Report each later change until the platform goes down."""
 
         def forward(entry: LogEntry) -> None:
-            if self._faults.down:
+            if self._down:
                 self._store.unsubscribe(number)
                 self._timers.call_soon(lambda: on_event(Failed("watch broken")))
                 return
@@ -345,9 +350,9 @@
 
         missed = self._store.changes_since(kind, version)
         number = self._store.subscribe(kind, forward)
-        if missed is None or self._faults.down:
+        if missed is None or self._down:
             self._store.unsubscribe(number)
-            event = Failed("platform is down") if self._faults.down else Expired()
+            event = Failed("platform is down") if self._down else Expired()
             self._timers.call_later(PLATFORM_MS, lambda: on_event(event))
             return
         for entry in missed:
@@ -357,7 +362,7 @@
         delay_ms = PLATFORM_MS / 2 + self._faults.slow_ms
 
         def arrive() -> None:
-            if self._faults.down:
+            if self._down:
                 wait_ms = PLATFORM_TIMEOUT_MS
                 self._timers.call_later(wait_ms, lambda: done(Failed("no answer")))
                 return
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -10,12 +10,13 @@
 
 from ..errors import ResultCode
 from ..model.exchange import Hit
+from ..model.move import MoveRecord
 from ..model.request import Priority, Request
 from ..node.catalogue import converter
 from ..node.node import Node, Ports
 from ..node.sharing import OwnedSharing, Sharing
 from ..ports.peer import ReportWarm
-from ..ports.platform import Kind
+from ..ports.platform import Kind, Missing
 from ..standins.backend_model import BackendModel, Behaviour, canonical_query, leaf_hits
 from ..standins.deployments import (
     PortCounter,
@@ -83,6 +84,7 @@
     node: Node
     process: ProcessTimers
     backend: FakeBackend
+    platform: FakePlatform
 
 
 class World:
@@ -160,7 +162,7 @@
         ports = Ports(backend, self.mesh.port(member), platform, process)
         random = Random(f"{member.name}/{self.random.random()}")
         node = Node(member, ports, random, self._make_sharing)
-        daemon = Daemon(node, process, backend)
+        daemon = Daemon(node, process, backend, platform)
         self.daemons[member.name] = daemon
         self.mesh.nodes[member.name] = node
         self.mesh.processes[member.name] = process
@@ -188,6 +190,55 @@
         self.services[record.name] = record
         self.store.put(Kind.SERVICE, record.name, converter.unstructure(record))
 
+    def add_version(
+        self,
+        service: str,
+        version: str,
+        change: Callable[[Behaviour], Behaviour] = lambda behaviour: behaviour,
+    ) -> None:
+        """Start servers of a new version beside the old ones.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        version : str
+            New version.
+        change : Callable, optional
+            Gives the behaviour of the new version's servers.
+        """
+        plan = next(s for s in self.plan.services if s.name == service)
+        built = build_service(self.plan, plan, self._ports, version)
+        record = self.services[service]
+        record = attrs.evolve(record, versions=record.versions + built.versions)
+        self.add_servers(record, plan)
+        for server in built.versions[0].servers:
+            model = self.models[server.name]
+            model.behaviour = change(model.behaviour)
+            model.turn_cold()
+        self.put_service(record)
+
+    def start_move(self, service: str, version: str, duration_ms: float) -> None:
+        """Start a move from the active version, as an operator would."""
+        now_ms = self.timers.wall_ms()
+        move = MoveRecord(
+            service=service,
+            move_id=f"{service}-{version}-{now_ms:.0f}",
+            from_version=self.services[service].active,
+            to_version=version,
+            started_wall_ms=now_ms,
+            finish_wall_ms=now_ms + duration_ms,
+        )
+        self.store.put(Kind.MOVE, service, converter.unstructure(move))
+
+    def move(self, service: str) -> MoveRecord:
+        """Return the move object of a service as the platform holds it."""
+        found = self.store.read(Kind.MOVE, service)
+        if isinstance(found, Missing):
+            raise AssertionError("there is no move")
+        record: MoveRecord = converter.structure(found.stored.spec, MoveRecord)
+        return record
+
     def request(
         self,
         service: str,
--- a/src/snipemount/node/catalogue.py
+++ b/src/snipemount/node/catalogue.py
@@ -9,6 +9,7 @@
 
 from ..decisions.membership import Member
 from ..model.catalogue import ServiceRecord, ZoneRecord
+from ..model.move import MoveRecord
 from ..model.profile import Profile
 from ..ports.platform import Changed, Deleted, Expired, Failed, Kind, Listed
 
@@ -27,8 +28,9 @@
     Kind.SERVICE: ServiceRecord,
     Kind.MEMBER: Member,
     Kind.ZONE: ZoneRecord,
+    Kind.MOVE: MoveRecord,
 }
-Record = Profile | ServiceRecord | Member | ZoneRecord
+Record = Profile | ServiceRecord | Member | ZoneRecord | MoveRecord
 converter = cattrs.Converter(forbid_extra_keys=False)
 
 
@@ -44,6 +46,8 @@
         Objects by name.
     versions : dict of str to int
         Platform version of each object.
+    stored : dict of str to StoredObject
+        Objects as they were stored.
     failures : int
         Failures in a row.
     listed : bool
@@ -53,6 +57,7 @@
     version: int = 0
     records: dict[str, Record] = attrs.Factory(dict)
     versions: dict[str, int] = attrs.Factory(dict)
+    stored: dict[str, StoredObject] = attrs.Factory(dict)
     failures: int = 0
     listed: bool = False
 
@@ -125,13 +130,41 @@
         found = self._kinds[Kind.ZONE].records.values()
         return frozenset(r.name for r in found if isinstance(r, ZoneRecord) and r.out)
 
-    def shard_map(self, service: str) -> ShardMap | None:
-        """Return the map that new queries of `service` pin."""
-        if service not in self._maps:
+    def moves(self) -> tuple[MoveRecord, ...]:
+        """Return all version moves."""
+        found = self._kinds[Kind.MOVE].records.values()
+        return tuple(r for r in found if isinstance(r, MoveRecord))
+
+    def shard_map(self, service: str, version: str | None = None) -> ShardMap | None:
+        """Return the map of a version, by default of the active one."""
+        key = f"{service}/{version}"
+        if key not in self._maps:
             record = self.service(service)
-            found = record.shard_map(record.active) if record else None
-            self._maps[service] = found
-        return self._maps[service]
+            found = record.shard_map(version or record.active) if record else None
+            if found is None and record is not None:
+                found = record.shard_map(record.active)
+            self._maps[key] = found
+        return self._maps[key]
+
+    def version(self, kind: Kind) -> int:
+        """Return the platform version up to which a kind is known."""
+        return self._kinds[kind].version
+
+    def stored(self, kind: Kind) -> tuple[StoredObject, ...]:
+        """Return the objects of a kind as they were stored."""
+        return tuple(self._kinds[kind].stored.values())
+
+    def take_from_peer(
+        self, kind: Kind, version: int, objects: tuple[StoredObject, ...]
+    ) -> None:
+        """Take all objects of a kind from a daemon that knows a higher version."""
+        known = self._kinds[kind]
+        if version <= known.version:
+            return
+        known.listed = True
+        self._take_all(kind, objects)
+        known.version = version
+        self._changed(kind)
 
     def _list(self, kind: Kind) -> None:
         self._platform.list_all(kind, lambda result: self._listed(kind, result))
@@ -143,12 +176,8 @@
         known = self._kinds[kind]
         known.failures = 0
         known.listed = True
-        names = {stored.name for stored in result.objects}
-        for name in [name for name in known.records if name not in names]:
-            del known.records[name]
-            known.versions.pop(name, None)
-        for stored in result.objects:
-            self._take(stored)
+        if result.version >= known.version:
+            self._take_all(kind, result.objects)
         known.version = max(known.version, result.version)
         self._changed(kind)
         self._watch(kind)
@@ -167,14 +196,27 @@
                 self._changed(kind)
             case Deleted(_, name, version):
                 known.version = max(known.version, version)
-                known.records.pop(name, None)
-                known.versions.pop(name, None)
+                if version > known.versions.get(name, 0):
+                    self._drop(kind, name)
                 self._changed(kind)
             case Expired():
                 self._list(kind)
             case Failed():
                 self._after_backoff(kind, lambda: self._watch(kind))
 
+    def _take_all(self, kind: Kind, objects: tuple[StoredObject, ...]) -> None:
+        names = {stored.name for stored in objects}
+        for name in [n for n in self._kinds[kind].records if n not in names]:
+            self._drop(kind, name)
+        for stored in objects:
+            self._take(stored)
+
+    def _drop(self, kind: Kind, name: str) -> None:
+        known = self._kinds[kind]
+        known.records.pop(name, None)
+        known.versions.pop(name, None)
+        known.stored.pop(name, None)
+
     def _take(self, stored: StoredObject) -> None:
         known = self._kinds[stored.kind]
         if stored.version < known.versions.get(stored.name, 0):
@@ -187,6 +229,7 @@
             record = attrs.evolve(record, revision=stored.version)
         known.records[stored.name] = record
         known.versions[stored.name] = stored.version
+        known.stored[stored.name] = stored
 
     def _changed(self, kind: Kind) -> None:
         self._maps.clear()
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -45,9 +45,14 @@
     from ..timers import TimerService
     from .catalogue import Catalogue
     from .claimer import Claimer
+    from .mover import Mover
 
 
 FORGET_AFTER_MS = 5000.0
+SECOND_RUN_MS = 60.0
+FAILED_CODES = frozenset(
+    {ResultCode.PARTIAL, ResultCode.BACKEND_FAILED, ResultCode.NO_BACKEND}
+)
 
 
 @attrs.define(eq=False)
@@ -89,6 +94,7 @@
     run: QueryRun
     exchange: Exchange
     daemon: str
+    sent_ms: float
 
     def matches(self, reply: ExchangeReply, daemon: str) -> bool:
         """Return whether `reply` from `daemon` is the end of this exchange."""
@@ -114,6 +120,8 @@
         Idempotency keys.
     quarantine : Quarantine
         Requests that crash servers.
+    mover : Mover
+        Shares of versions.
     route_exchange : Callable
         Hands an exchange on; returns the daemon that has it now, or None.
     withdraw_exchange : Callable
@@ -128,6 +136,7 @@
         catalogue: Catalogue,
         claimer: Claimer,
         quarantine: Quarantine,
+        mover: Mover,
         route_exchange: Callable[[Exchange], str | None],
         withdraw_exchange: Callable[[str, int, str], None],
     ) -> None:
@@ -137,6 +146,7 @@
         self._catalogue = catalogue
         self._claimer = claimer
         self._quarantine = quarantine
+        self._mover = mover
         self._route_exchange = route_exchange
         self._withdraw_exchange = withdraw_exchange
         self._exchange_ids = count(1)
@@ -181,7 +191,7 @@
             return
         del self._pending[reply.exchange_id]
         run, job = pending.run, pending.job
-        self._learn(job, pending.exchange, reply)
+        self._learn(job, pending, reply)
         self._carry_out(job, run, run.replied(reply, self._timers.now_ms()))
 
     def daemon_lost(self, daemon: str) -> None:
@@ -266,13 +276,18 @@
     def _start(self, job: Job, fallback: Answer | None = None) -> None:
         request = job.request
         state = self.state(request.service)
-        shard_map = self._catalogue.shard_map(request.service)
+        shard_map = self._pick_map(request)
         if state is None or shard_map is None:
             self._refuse(job, ResultCode.NO_SNAPSHOT)
             return
         if fallback is not None and fallback.snapshot == shard_map.snapshot.token:
             self._finish(job, fallback)
             return
+        self._start_on(job, state, shard_map)
+
+    def _start_on(self, job: Job, state: ServiceState, shard_map: ShardMap) -> None:
+        """Run a request on the snapshot of this map."""
+        request = job.request
         left = self._servers_at_risk(job, state, shard_map)
         if left is None:
             return
@@ -283,6 +298,19 @@
         job.run = run
         self._carry_out(job, run, run.start(self._timers.now_ms()))
 
+    def _pick_map(self, request: Request) -> ShardMap | None:
+        """Return the map to pin; the old version's when the new has no room."""
+        service = request.service
+        version = self._mover.pick_version(service)
+        shard_map = self._catalogue.shard_map(service, version)
+        old = self._mover.old_version(service)
+        state = self.state(service)
+        if shard_map is None or state is None or old is None or old == version:
+            return shard_map
+        if state.has_room(shard_map, self._timers.now_ms()):
+            return shard_map
+        return self._catalogue.shard_map(service, old)
+
     def _servers_at_risk(
         self, job: Job, state: ServiceState, shard_map: ShardMap
     ) -> int | None:
@@ -313,7 +341,11 @@
             return (shard_of(request.shard_key, shard_map.shard_count),)
         return tuple(range(shard_map.shard_count))
 
-    def _learn(self, job: Job, exchange: Exchange, reply: ExchangeReply) -> None:
+    def _learn(self, job: Job, pending: Pending, reply: ExchangeReply) -> None:
+        exchange = pending.exchange
+        elapsed_ms = self._timers.now_ms() - pending.sent_ms
+        zone = pending.run.zone_of(exchange.server)
+        self._mover.observe(exchange, reply, zone, elapsed_ms)
         if reply.fate is not Fate.ANSWERED:
             return
         version = exchange.snapshot.split("/")[1]
@@ -339,17 +371,41 @@
                     delay_ms = at_ms - self._timers.now_ms()
                     self._timers.call_later(delay_ms, lambda: self._wake(job, run))
                 case Finish(answer):
-                    self._finish(job, answer)
+                    if not self._run_on_old_version(job, answer):
+                        self._finish(job, answer)
                 case Restart(fallback):
                     job.restarts += 1
                     self._start(job, fallback)
 
+    def _run_on_old_version(self, job: Job, answer: Answer) -> bool:
+        """Run a query that the new version of a move failed on the old one."""
+        request, service = job.request, job.request.service
+        old = self._mover.old_version(service)
+        if old is None or answer.code not in FAILED_CODES or job.restarts:
+            return False
+        state = self.state(service)
+        shard_map = self._catalogue.shard_map(service, old)
+        if state is None or shard_map is None or answer.coverage is None:
+            return False
+        if shard_map.snapshot.token == answer.snapshot:
+            return False
+        left_ms = job.started_ms + request.deadline_ms - self._timers.now_ms()
+        may_rerun = request.repeatable or answer.not_run
+        exchanges = state.exchanges_for(shard_map, self._timers.now_ms())
+        if left_ms < SECOND_RUN_MS or not may_rerun:
+            return False
+        if not state.budget.take(exchanges):
+            return False
+        job.restarts += 1
+        self._start_on(job, state, shard_map)
+        return True
+
     def _wake(self, job: Job, run: QueryRun) -> None:
         if not run.finished:
             self._carry_out(job, run, run.wake(self._timers.now_ms()))
 
     def _send(self, job: Job, run: QueryRun, exchange: Exchange) -> None:
-        pending = Pending(job, run, exchange, "")
+        pending = Pending(job, run, exchange, "", self._timers.now_ms())
         self._pending[exchange.exchange_id] = pending
         daemon = self._route_exchange(exchange)
         if daemon is not None:
--- /dev/null
+++ b/src/snipemount/node/mover.py
@@ -0,0 +1,349 @@
+"""Driver of the version moves."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..decisions.fleet_view import FAILURE_REASONS
+from ..decisions.move_judge import MoveJudge, Observation
+from ..decisions.move_plan import MoveEvidence, MovePlan
+from ..model.exchange import Attempt, Fate, Reason
+from ..model.move import EventRecord, MoveRecord, MoveState
+from ..ports.peer import ReportBadMove, ReportEvidence
+from ..ports.platform import Failed, Found, Kind, Written
+from .catalogue import converter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from ..decisions.membership import Membership
+    from ..model.exchange import Exchange, ExchangeReply
+    from ..ports.peer import PeerMessage
+    from ..ports.platform import PlatformPort, ReadResult, WriteResult
+    from ..timers import TimerService
+    from .catalogue import Catalogue
+
+TICK_MS = 250.0
+END_RETRY_MS = 1000.0
+END_STAGGER_MS = 400.0
+EXCUSE_MS = 30_000.0
+JUDGED_FAILURES = FAILURE_REASONS | {Reason.EJECTED}
+COLD_FAULTS = frozenset({Reason.CONNECTION_LOST, Reason.CONNECT_FAILED, Reason.TIMEOUT})
+
+
+@attrs.define(eq=False)
+class RunningMove:
+    """A move as this daemon sees it.
+
+    Parameters
+    ----------
+    record : MoveRecord
+        The move object.
+    plan : MovePlan
+        Share of the new version.
+    judge : MoveJudge
+        Evidence.
+    end_from_ms : float
+        Time before which this daemon does not try to end the move.
+    ending : bool
+        Whether a write that ends it is under way.
+    told : bool
+        Whether the bad judgement has been passed on.
+    """
+
+    record: MoveRecord
+    plan: MovePlan
+    judge: MoveJudge
+    end_from_ms: float = 0.0
+    ending: bool = False
+    told: bool = False
+
+    @property
+    def evidence(self) -> MoveEvidence:
+        """What the judge has seen."""
+        judge = self.judge
+        return MoveEvidence(judge.seen, judge.samples, judge.clean, judge.bad)
+
+
+class Mover:
+    """Shares out traffic between versions and ends moves.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Moves and services.
+    membership : Membership
+        View of the daemons.
+    platform : PlatformPort
+        Where moves and events are stored.
+    timers : TimerService
+        Time.
+    random : Random
+        Draws the version of each query.
+    broadcast : Callable
+        Sends a message to every other daemon.
+    on_event : Callable
+        Takes each event that this daemon has stored.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        membership: Membership,
+        platform: PlatformPort,
+        timers: TimerService,
+        random: Random,
+        broadcast: Callable[[PeerMessage], None],
+        on_event: Callable[[EventRecord], None],
+    ) -> None:
+        self._catalogue = catalogue
+        self._membership = membership
+        self._platform = platform
+        self._timers = timers
+        self._random = random
+        self._broadcast = broadcast
+        self._on_event = on_event
+        self._moves: dict[str, RunningMove] = {}
+        self._reported: set[str] = set()
+        self._first_seen_ms: dict[str, float] = {}
+        timers.call_every(TICK_MS, self._tick)
+
+    def share(self, service: str) -> float:
+        """Return the share of the new version, 0 when there is no move."""
+        move = self._moves.get(service)
+        return move.plan.share if move is not None else 0.0
+
+    def evidence(self, service: str) -> MoveEvidence | None:
+        """Return what speaks for and against a running move."""
+        move = self._moves.get(service)
+        return move.evidence if move is not None else None
+
+    def pick_version(self, service: str) -> str | None:
+        """Draw the version of a new query; None for the service's active one."""
+        move = self._moves.get(service)
+        if move is None:
+            return None
+        new = self._random.random() < move.plan.share
+        return move.record.to_version if new else move.record.from_version
+
+    def old_version(self, service: str) -> str | None:
+        """Return the version that takes what the new one has no room for."""
+        move = self._moves.get(service)
+        if move is None or move.record.state.final:
+            return None
+        return move.record.from_version
+
+    def catalogue_changed(self) -> None:
+        """Take over moves from the catalogue."""
+        for record in self._catalogue.moves():
+            known = self._moves.get(record.service)
+            if known is None or known.record.move_id != record.move_id:
+                judge = MoveJudge(record.move_id)
+                known = RunningMove(record, MovePlan(record), judge)
+                self._moves[record.service] = known
+            known.record = record
+            known.plan.record = record
+            self._refresh(known)
+            if record.state.final:
+                self._report(record)
+
+    def observe(
+        self, exchange: Exchange, reply: ExchangeReply, zone: str, elapsed_ms: float
+    ) -> None:
+        """Learn from the end of an exchange during a move."""
+        move = self._moves.get(exchange.service)
+        if move is None or move.record.state.final:
+            return
+        if exchange.attempt is not Attempt.FIRST:
+            return
+        seen = self._observation(exchange, reply, zone, elapsed_ms)
+        if seen is None:
+            return
+        version = exchange.snapshot.split("/")[1]
+        if version == move.record.to_version:
+            move.judge.see_new(seen)
+            self._check(move)
+        elif version == move.record.from_version:
+            move.judge.see_old(seen)
+
+    def hear(self, message: ReportEvidence | ReportBadMove) -> None:
+        """Take the evidence or the judgement of another daemon."""
+        for move in self._moves.values():
+            match message:
+                case ReportEvidence(share):
+                    move.judge.hear(share)
+                    self._check(move)
+                case ReportBadMove(move_id, reason):
+                    if move.record.move_id == move_id:
+                        self._stop_locally(move, reason)
+
+    def _observation(
+        self, exchange: Exchange, reply: ExchangeReply, zone: str, elapsed_ms: float
+    ) -> Observation | None:
+        """Return the observation; None when it says nothing of the version."""
+        failed = reply.reason in JUDGED_FAILURES
+        cancelled = reply.reason is Reason.CANCELLED and not reply.fate.not_run
+        told_speed = reply.fate is Fate.ANSWERED or cancelled
+        if not failed and not told_speed:
+            return None
+        excused = self._is_excused(reply, failed)
+        latency_ms = max(0.0, elapsed_ms - reply.waited_ms)
+        return Observation(exchange.route, zone, failed, latency_ms, excused)
+
+    def _is_excused(self, reply: ExchangeReply, failed: bool) -> bool:
+        """Return whether the server was warming up; not for ever."""
+        if reply.load is None or not reply.load.cold:
+            return False
+        now_ms = self._timers.now_ms()
+        first_ms = self._first_seen_ms.setdefault(reply.server, now_ms)
+        if now_ms - first_ms > EXCUSE_MS:
+            return False
+        return not failed or reply.reason in COLD_FAULTS
+
+    def _tick(self) -> None:
+        for move in self._moves.values():
+            for share in move.judge.take_shares():
+                self._broadcast(ReportEvidence(share))
+            self._refresh(move)
+            self._check(move)
+            self._end_in_time(move)
+
+    def _end_in_time(self, move: RunningMove) -> None:
+        if move.record.state.final:
+            return
+        if self._is_due(move):
+            self._end(move, MoveState.DONE, "share and judgement complete")
+        elif move.plan.is_overdue(self._timers.wall_ms()):
+            self._end(move, MoveState.TAKEN_BACK, "not proven by the finishing time")
+
+    def _is_due(self, move: RunningMove) -> bool:
+        due = move.plan.is_due(move.evidence, self._timers.wall_ms())
+        return due and self._is_confirmed()
+
+    def _refresh(self, move: RunningMove) -> None:
+        now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+        move.plan.update(move.evidence, self._is_confirmed(), wall_ms, now_ms)
+
+    def _is_confirmed(self) -> bool:
+        """Return whether this daemon hears most of the others."""
+        now_ms = self._timers.now_ms()
+        members = self._membership.members
+        heard = sum(not self._membership.is_doubtful(m.name, now_ms) for m in members)
+        return self._membership.is_settled(now_ms) and heard * 2 > len(members)
+
+    def _check(self, move: RunningMove) -> None:
+        """Stop a move whose new version has just been judged bad."""
+        if not move.judge.bad or move.record.state.final:
+            return
+        reason = move.judge.reason
+        self._stop_locally(move, reason)
+        if not move.told:
+            move.told = True
+            self._broadcast(ReportBadMove(move.record.move_id, reason))
+
+    def _stop_locally(self, move: RunningMove, reason: str) -> None:
+        if move.record.state.final:
+            return
+        evidence = attrs.evolve(move.evidence, bad=True)
+        now_ms, wall_ms = self._timers.now_ms(), self._timers.wall_ms()
+        move.plan.update(evidence, False, wall_ms, now_ms)
+        self._end(move, MoveState.TAKEN_BACK, reason)
+
+    def _end(self, move: RunningMove, state: MoveState, reason: str) -> None:
+        """Write the end of a move; daemons take their turns by rank."""
+        now_ms = self._timers.now_ms()
+        if move.ending or now_ms < move.end_from_ms:
+            return
+        if move.end_from_ms == 0.0 and self._rank() > 0:
+            move.end_from_ms = now_ms + self._rank() * END_STAGGER_MS
+            self._timers.call_later(
+                self._rank() * END_STAGGER_MS, lambda: self._end(move, state, reason)
+            )
+            return
+        if move.record.state.final:
+            return
+        move.ending = True
+        move.end_from_ms = now_ms + END_RETRY_MS
+        self._platform.read(
+            Kind.MOVE,
+            move.record.service,
+            lambda result: self._end_read(move, state, reason, result),
+        )
+
+    def _rank(self) -> int:
+        names = [m.name for m in self._membership.alive(self._timers.now_ms())]
+        return names.index(self._membership.own.name)
+
+    def _end_read(
+        self, move: RunningMove, state: MoveState, reason: str, result: ReadResult
+    ) -> None:
+        if not isinstance(result, Found):
+            self._retry_end(move, state, reason)
+            return
+        current: MoveRecord = converter.structure(result.stored.spec, MoveRecord)
+        if current.state.final or current.move_id != move.record.move_id:
+            move.ending = False
+            return
+        name = self._membership.own.name
+        ended = attrs.evolve(current, state=state, reason=reason, ended_by=name)
+        self._platform.write(
+            Kind.MOVE,
+            current.service,
+            converter.unstructure(ended),
+            result.stored.version,
+            lambda written: self._end_written(move, state, reason, written),
+        )
+
+    def _end_written(
+        self, move: RunningMove, state: MoveState, reason: str, result: WriteResult
+    ) -> None:
+        if isinstance(result, Written):
+            move.ending = False
+            return
+        self._retry_end(move, state, reason)
+
+    def _retry_end(self, move: RunningMove, state: MoveState, reason: str) -> None:
+        """Read again later: the write may have taken effect."""
+
+        def again() -> None:
+            move.ending = False
+            if state is MoveState.TAKEN_BACK or self._is_due(move):
+                self._end(move, state, reason)
+
+        self._timers.call_later(END_RETRY_MS, again)
+
+    def _report(self, record: MoveRecord) -> None:
+        """Store the event of an ended move; its name makes it the only one."""
+        if record.move_id in self._reported:
+            return
+        self._reported.add(record.move_id)
+        delay_ms = self._rank() * END_STAGGER_MS
+        self._timers.call_later(delay_ms, lambda: self._write_event(record))
+
+    def _write_event(self, record: MoveRecord) -> None:
+        event = EventRecord(
+            subject=record.service,
+            what=f"move {record.move_id} {record.state.name.lower()}",
+            reason=record.reason,
+            reported_by=self._membership.own.name,
+            wall_ms=self._timers.wall_ms(),
+        )
+
+        def written(result: WriteResult) -> None:
+            match result:
+                case Written():
+                    self._on_event(event)
+                case Failed():
+                    retry = partial(self._write_event, record)
+                    self._timers.call_later(END_RETRY_MS, retry)
+
+        name = f"{record.service}-{record.move_id}-{record.state.name.lower()}"
+        spec = converter.unstructure(event)
+        self._platform.write(Kind.EVENT, name, spec, None, written)
+
+
+__all__ = ["Mover"]
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -10,18 +10,24 @@
 from ..decisions.quarantine import Quarantine, StrikeNotice
 from ..decisions.server_owner import Origin
 from ..ports.peer import (
+    SHARED_KINDS,
+    AskCatalogue,
     Goodbye,
     Heartbeat,
+    ReportBadMove,
+    ReportEvidence,
     ReportExchange,
     ReportStrike,
     ReportWarm,
     SubmitExchange,
+    TellCatalogue,
     WithdrawExchange,
 )
 from ..ports.platform import Kind
 from .catalogue import Catalogue
 from .claimer import Claimer
 from .entry import EntryDriver
+from .mover import Mover
 from .owner import OwnerDriver
 from .sharing import OwnedSharing, Sharing
 
@@ -33,6 +39,7 @@
     from ..model.answer import Answer
     from ..model.exchange import Exchange, ExchangeReply
     from ..model.fleet import BackendServer
+    from ..model.move import EventRecord
     from ..model.profile import Profile
     from ..model.request import Request
     from ..ports.backend import BackendPort
@@ -44,6 +51,8 @@
 MEMBER_TICK_MS = 50.0
 WARM_PERIOD_MS = 1000.0
 WARM_MEMORY_MS = 5000.0
+CATCH_UP_MS = 400.0
+FORGET_BEHIND_MS = 4000.0
 
 
 @attrs.frozen
@@ -69,6 +78,10 @@
         Seeded generator.
     make_sharing : Callable, optional
         How the limits of servers are shared; by ownership if left out.
+    on_event : Callable, optional
+        Takes each event that this daemon has stored for the operators.
+    seeds : tuple of Member, optional
+        Daemons to ask while the platform does not answer.
     """
 
     def __init__(
@@ -77,6 +90,8 @@
         ports: Ports,
         random: Random,
         make_sharing: Callable[[Membership], Sharing] = OwnedSharing,
+        on_event: Callable[[EventRecord], None] = lambda event: None,
+        seeds: tuple[Member, ...] = (),
     ) -> None:
         self.own = own
         self.start_id = f"{random.getrandbits(32):08x}"
@@ -91,6 +106,15 @@
         self.owner = OwnerDriver(
             ports.backend, self._timers, self._sharing, self._exchange_ended, self._lost
         )
+        self.mover = Mover(
+            self.catalogue,
+            self.membership,
+            ports.platform,
+            self._timers,
+            random,
+            self._broadcast,
+            on_event,
+        )
         self.entry = EntryDriver(
             own.zone,
             self._timers,
@@ -98,10 +122,14 @@
             self.catalogue,
             Claimer(ports.platform, self._timers),
             self.quarantine,
+            self.mover,
             self._route,
             self._withdraw,
         )
         self.owner.connect_warmth(self._was_cold, self._laid_down)
+        self._seeds = seeds
+        self._versions: dict[str, tuple[int, ...]] = {}
+        self._behind_ms: dict[Kind, float] = {}
         self._warm_told_ms: dict[str, float] = {}
         self._servers: dict[str, BackendServer] = {}
         self._stopped = False
@@ -133,8 +161,16 @@
     def received(self, sender: str, message: PeerMessage) -> None:
         """Take a message of another daemon."""
         match message:
-            case Heartbeat(member):
+            case Heartbeat(member, versions):
                 self.membership.heard(member, self._timers.now_ms())
+                self._versions[member.name] = versions
+                self._catch_up(member, versions)
+            case AskCatalogue(kind, version):
+                self._tell_catalogue(sender, kind, version)
+            case TellCatalogue(kind, version, objects):
+                self.catalogue.take_from_peer(kind, version, objects)
+            case ReportEvidence() | ReportBadMove():
+                self.mover.hear(message)
             case SubmitExchange(exchange):
                 self.owner.submit(Origin(sender, exchange.exchange_id), exchange)
             case WithdrawExchange(exchange_id, server):
@@ -157,11 +193,50 @@
     def _beat(self) -> None:
         if self._stopped:
             return
-        message = Heartbeat(self.own)
+        versions = tuple(self.catalogue.version(kind) for kind in SHARED_KINDS)
+        message = Heartbeat(self.own, versions)
+        self._broadcast(message)
+        if not self.catalogue.ready:
+            for seed in self._seeds:
+                self._ports.peers.send(seed, message)
+
+    def _broadcast(self, message: PeerMessage) -> None:
         for member in self.membership.members:
             if member.name != self.own.name:
                 self._ports.peers.send(member, message)
 
+    def known_versions(self, name: str) -> tuple[int, ...]:
+        """Return the versions that a daemon last told, by `SHARED_KINDS`."""
+        if name == self.own.name:
+            return tuple(self.catalogue.version(kind) for kind in SHARED_KINDS)
+        return self._versions.get(name, ())
+
+    def _catch_up(self, member: Member, versions: tuple[int, ...]) -> None:
+        """Ask a daemon that has seen higher versions than the platform told us.
+
+        The platform is given a moment to tell them itself.
+        """
+        now_ms = self._timers.now_ms()
+        for kind, version in zip(SHARED_KINDS, versions, strict=False):
+            if version <= self.catalogue.version(kind):
+                continue
+            noticed_ms = self._behind_ms.get(kind, -FORGET_BEHIND_MS)
+            behind_ms = now_ms - noticed_ms
+            if behind_ms >= FORGET_BEHIND_MS:
+                self._behind_ms[kind] = now_ms
+            if not CATCH_UP_MS <= behind_ms < FORGET_BEHIND_MS:
+                continue
+            self._behind_ms[kind] = now_ms
+            own_version = self.catalogue.version(kind)
+            self._ports.peers.send(member, AskCatalogue(kind, own_version))
+
+    def _tell_catalogue(self, sender: str, kind: Kind, version: int) -> None:
+        member = self._member(sender)
+        known = self.catalogue.version(kind)
+        if member is not None and known > version:
+            objects = self.catalogue.stored(kind)
+            self._ports.peers.send(member, TellCatalogue(kind, known, objects))
+
     def _tick(self) -> None:
         if self.membership.tick(self._timers.now_ms()):
             self.owner.update_shares()
@@ -170,6 +245,7 @@
         if kind is Kind.MEMBER:
             listed = self.catalogue.members()
             self.membership.take_list(listed, self._timers.now_ms())
+        self.mover.catalogue_changed()
         self.entry.catalogue_changed()
         servers: dict[str, BackendServer] = {}
         profiles: dict[str, Profile] = {}
@@ -221,9 +297,7 @@
         notice_id = f"{self.own.name}/{strike.server}/{self._strike_count}"
         notice = StrikeNotice(notice_id, strike.fingerprint, strike.server)
         self.quarantine.strike(notice, self._timers.now_ms())
-        for member in self.membership.members:
-            if member.name != self.own.name:
-                self._ports.peers.send(member, ReportStrike(notice))
+        self._broadcast(ReportStrike(notice))
 
     def _was_cold(self, server: str) -> bool:
         """Return whether a server taken up now is to be warmed up first."""
@@ -264,9 +338,7 @@
             self._timers.call_later(STOP_POLL_MS, lambda: self._await_idle(done))
             return
         self._stopped = True
-        for member in self.membership.members:
-            if member.name != self.own.name:
-                self._ports.peers.send(member, Goodbye(self.own.name))
+        self._broadcast(Goodbye(self.own.name))
         self._timers.call_later(STOP_POLL_MS, done)
 
 
--- a/src/snipemount/ports/peer.py
+++ b/src/snipemount/ports/peer.py
@@ -7,15 +7,28 @@
 import attrs
 
 from ..decisions.membership import Member
+from ..decisions.move_judge import EvidenceShare
 from ..decisions.quarantine import StrikeNotice
 from ..model.exchange import Exchange, ExchangeReply
+from .platform import Kind, StoredObject
+
+SHARED_KINDS = (Kind.PROFILE, Kind.SERVICE, Kind.ZONE, Kind.MOVE, Kind.MEMBER)
 
 
 @attrs.frozen
 class Heartbeat:
-    """Sign of life of a daemon."""
+    """Sign of life of a daemon.
+
+    Parameters
+    ----------
+    member : Member
+        The daemon.
+    versions : tuple of int
+        Platform version up to which it follows each kind of `SHARED_KINDS`.
+    """
 
     member: Member
+    versions: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -61,6 +74,38 @@
     servers: tuple[str, ...]
 
 
+@attrs.frozen
+class ReportEvidence:
+    """Evidence on a version move since the sender last told."""
+
+    share: EvidenceShare
+
+
+@attrs.frozen
+class ReportBadMove:
+    """The sender has judged the new version of a move bad."""
+
+    move_id: str
+    reason: str
+
+
+@attrs.frozen
+class AskCatalogue:
+    """The sender has seen no version of a kind as high as the receiver's."""
+
+    kind: Kind
+    version: int
+
+
+@attrs.frozen
+class TellCatalogue:
+    """All objects of a kind, as of a version."""
+
+    kind: Kind
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
 PeerMessage = (
     Heartbeat
     | Goodbye
@@ -69,6 +114,10 @@
     | ReportExchange
     | ReportStrike
     | ReportWarm
+    | ReportEvidence
+    | ReportBadMove
+    | AskCatalogue
+    | TellCatalogue
 )
 
 
@@ -81,13 +130,18 @@
 
 
 __all__ = [
+    "SHARED_KINDS",
+    "AskCatalogue",
     "Goodbye",
     "Heartbeat",
     "PeerMessage",
     "PeerPort",
+    "ReportBadMove",
+    "ReportEvidence",
     "ReportExchange",
     "ReportStrike",
     "ReportWarm",
     "SubmitExchange",
+    "TellCatalogue",
     "WithdrawExchange",
 ]
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -20,6 +20,8 @@
     MEMBER = "members"
     CLAIM_BUCKET = "claimbuckets"
     ZONE = "zones"
+    MOVE = "moves"
+    EVENT = "events"
 
 
 @attrs.frozen
--- a/src/snipemount/queries/experiment.py
+++ b/src/snipemount/queries/experiment.py
@@ -11,7 +11,7 @@
 import cappa
 
 from ..errors import ResultCode, SnipemountError
-from ..experiments import serving
+from ..experiments import serving, steering
 from ..experiments.report import Report, plot, to_text
 
 if TYPE_CHECKING:
@@ -29,6 +29,9 @@
     POISON = "poison"
     OWNERSHIP = "ownership"
     PROVING = "proving"
+    MOVES = "moves"
+    IN_FORCE = "in-force"
+    ZONE_MOVE = "zone-move"
 
 
 EXPERIMENTS: dict[ExperimentName, Callable[[], Report]] = {
@@ -40,6 +43,9 @@
     ExperimentName.POISON: serving.poison,
     ExperimentName.OWNERSHIP: serving.ownership,
     ExperimentName.PROVING: serving.proving,
+    ExperimentName.MOVES: steering.moves,
+    ExperimentName.IN_FORCE: steering.in_force,
+    ExperimentName.ZONE_MOVE: steering.zone_move,
 }
 
 
--- a/src/snipemount/standins/backend_model.py
+++ b/src/snipemount/standins/backend_model.py
@@ -44,6 +44,8 @@
         How much longer an exchange takes just after a cold start.
     cold_answers : int
         Answers after which the server is warm.
+    cold_ms : float
+        Time after which it is warm at the latest.
     cold_starts_per_s : float
         Exchanges that a cold server bears in a second.
     restart_ms : float
@@ -54,6 +56,8 @@
         Fraction of exchanges that end in an error.
     slow_factor : float
         How much longer every exchange takes, as on a bad version.
+    loaded_factor : float
+        How much longer an exchange takes while another one runs.
     wrong_snapshot : bool
         Whether the server answers from another snapshot than asked.
     partial_rate : float
@@ -65,11 +69,13 @@
     straggler_factor: float = 10.0
     cold_factor: float = 3.0
     cold_answers: int = 40
+    cold_ms: float = 15_000.0
     cold_starts_per_s: float = 10.0
     restart_ms: float = 1000.0
     poison: str = ""
     failure_rate: float = 0.0
     slow_factor: float = 1.0
+    loaded_factor: float = 1.0
     wrong_snapshot: bool = False
     partial_rate: float = 0.0
 
@@ -161,6 +167,7 @@
         self._random = random
         self._starts = 1
         self._answers_until_warm = 0
+        self._cold_from_ms = 0.0
         self._recent_starts: deque[float] = deque()
         self._in_flight = dict.fromkeys(server.shards, 0)
         self._slots = {leaf.shard: leaf.slots for leaf in server.leafs}
@@ -176,7 +183,8 @@
     @property
     def cold(self) -> bool:
         """Whether the server is just after a cold start."""
-        return self._answers_until_warm > 0
+        too_old = self._timers.now_ms() - self._cold_from_ms > self.behaviour.cold_ms
+        return self._answers_until_warm > 0 and not too_old
 
     @property
     def in_flight(self) -> int:
@@ -200,6 +208,7 @@
     def turn_cold(self) -> None:
         """Become cold without a word, as after a loss of caches."""
         self._answers_until_warm = self.behaviour.cold_answers
+        self._cold_from_ms = self._timers.now_ms()
         self._recent_starts.clear()
 
     def restart(self) -> None:
@@ -299,6 +308,8 @@
         duration_ms = behaviour.service_ms * spread * behaviour.slow_factor
         if self._random.random() < behaviour.straggler_rate:
             duration_ms *= behaviour.straggler_factor
+        if self._running:
+            duration_ms *= behaviour.loaded_factor
         if self.cold:
             duration_ms *= behaviour.cold_factor
         return duration_ms
