Administration interface, TLS, and replay of a daemon's decisions

Owners of servers now take typed events through one door; a bounded ring keeps them with the actions they led to, and replay decides them again.

--- a/src/snipemount/adapters/peer_websocket.py
+++ b/src/snipemount/adapters/peer_websocket.py
@@ -15,6 +15,7 @@
 from .mesh_codec import MAX_FRAME_BYTES, FrameEncoder, decode_frame
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Callable
 
     from structlog.typing import FilteringBoundLogger
@@ -75,9 +76,15 @@
         self._links: dict[str, Link] = {}
         self._server: Server | None = None
         self._stopped = False
+        self._dialer: ssl.SSLContext | None = None
 
-    async def listen(self) -> None:
-        """Open the listener for other daemons."""
+    async def listen(
+        self,
+        listener: ssl.SSLContext | None = None,
+        dialer: ssl.SSLContext | None = None,
+    ) -> None:
+        """Open the listener for other daemons, with TLS when contexts are given."""
+        self._dialer = dialer
         self._server = await serve(
             self._serve,
             self._own.host,
@@ -85,6 +92,7 @@
             max_size=MAX_FRAME_BYTES,
             compression=None,
             ping_interval=None,
+            ssl=listener,
         )
 
     def send(self, member: Member, message: PeerMessage) -> bool:
@@ -128,7 +136,8 @@
     async def _dial(self, link: Link) -> None:
         """Keep a connection to the daemon; report each loss."""
         member = link.member
-        url = f"ws://{member.host}:{member.mesh_port}/"
+        scheme = "ws" if self._dialer is None else "wss"
+        url = f"{scheme}://{member.host}:{member.mesh_port}/"
         while not self._stopped and self._links.get(member.name) is link:
             try:
                 async with connect(
@@ -139,6 +148,7 @@
                     ping_interval=None,
                     open_timeout=OPEN_TIMEOUT_S,
                     proxy=None,
+                    ssl=self._dialer,
                 ) as connection:
                     link.connection = connection
                     self._logger.info("peer_connected", peer=member.name)
--- a/src/snipemount/commands/serve.py
+++ b/src/snipemount/commands/serve.py
@@ -41,6 +41,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload_keys)
     await daemon.start()
     await asked.wait()
     await daemon.stop()
--- a/src/snipemount/decisions/server_owner.py
+++ b/src/snipemount/decisions/server_owner.py
@@ -6,7 +6,14 @@
 
 import attrs
 
-from ..model.exchange import ExchangeReply, Fate, Reason, ServerLoad
+from ..model.exchange import (
+    Exchange,
+    ExchangeReply,
+    Fate,
+    Partial,
+    Reason,
+    ServerLoad,
+)
 from .breaker import CircuitBreaker
 from .cold_start import ColdStartGuard
 from .connections import ConnectionAction, ConnectionPool
@@ -14,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ..model.exchange import Exchange, Partial
     from ..model.fleet import BackendServer
     from ..model.profile import Profile
     from .latency_reference import LatencyReference
@@ -184,6 +190,7 @@
             server.name, profile.cold_start, reference, cold, now_ms
         )
         self.slots = server.slots
+        self.connections = server.connection_limit
         self._leaf_slots = {leaf.shard: leaf.slots for leaf in server.leafs}
         self._leaf_in_flight = dict.fromkeys(self._leaf_slots, 0)
         warm = server.slots + SPARE_CONNECTIONS
@@ -235,6 +242,7 @@
     ) -> list[OwnerAction]:
         """Use at most `slots` and `connections` from now on."""
         self.slots = slots
+        self.connections = connections
         actions: list[OwnerAction] = []
         actions += self._pool.set_limit(connections, now_ms)
         if slots == 0:
--- a/src/snipemount/errors.py
+++ b/src/snipemount/errors.py
@@ -44,7 +44,9 @@
     IN_PROGRESS = 401
     CONFLICT = 402
     CLAIMS_FULL = 403
+    LAST_ZONE = 404
     UNAUTHENTICATED = 500
+    FORBIDDEN = 501
     SETTINGS_INVALID = 901
     INTERNAL = 900
 
@@ -69,6 +71,7 @@
     ResultCode.KEY_REUSED: 422,
     ResultCode.DEADLINE_EXCEEDED: 504,
     ResultCode.OVERLOADED: 429,
+    ResultCode.FORBIDDEN: 403,
 }
 
 _DESCRIPTIONS = {
@@ -99,6 +102,8 @@
     ResultCode.IN_PROGRESS: "A request with this key is running now.",
     ResultCode.CONFLICT: "The object was changed by another writer.",
     ResultCode.CLAIMS_FULL: "No room for further idempotency keys just now.",
+    ResultCode.LAST_ZONE: "It is the last zone of a service; force it if meant.",
+    ResultCode.FORBIDDEN: "The credentials do not allow changes.",
     ResultCode.UNAUTHENTICATED: "Credentials are missing or wrong.",
     ResultCode.SETTINGS_INVALID: "The settings file has a fault.",
     ResultCode.INTERNAL: "A fault of the daemon itself; the log has the event.",
@@ -131,6 +136,10 @@
     """A caller's request is at fault and has not been run."""
 
 
+class CredentialsError(SnipemountError):
+    """The credentials are missing, wrong or not enough."""
+
+
 class SettingsError(SnipemountError):
     """The settings file has a fault; `detail` names the key and the reason."""
 
@@ -174,6 +183,7 @@
 
 __all__ = [
     "ConflictError",
+    "CredentialsError",
     "DecodeError",
     "NotFoundError",
     "PlatformError",
--- a/src/snipemount/model/catalogue.py
+++ b/src/snipemount/model/catalogue.py
@@ -77,10 +77,13 @@
         Availability zone.
     out : bool
         True when operators have taken it out.
+    operation : str
+        Id of the operation that wrote it; settles lost replies.
     """
 
     name: str
     out: bool = False
+    operation: str = ""
 
 
 __all__ = ["ServiceRecord", "VersionRecord", "ZoneRecord"]
--- a/src/snipemount/model/move.py
+++ b/src/snipemount/model/move.py
@@ -47,6 +47,8 @@
         Why it ended or is held.
     ended_by : str
         Daemon or operator that ended it.
+    operation : str
+        Id of the operation that wrote it last; settles lost replies.
     """
 
     service: str
@@ -59,6 +61,7 @@
     held_share: float = 0.0
     reason: str = ""
     ended_by: str = ""
+    operation: str = ""
 
 
 @attrs.frozen
--- a/src/snipemount/model/profile.py
+++ b/src/snipemount/model/profile.py
@@ -99,6 +99,8 @@
         Profile name.
     revision : int
         Platform version of the profile.
+    operation : str
+        Id of the operation that wrote it; settles lost replies.
     routes : tuple of Route
         Routes that callers may name.
     default_deadline_ms : float
@@ -126,6 +128,7 @@
 
     name: str
     revision: int = 0
+    operation: str = ""
     routes: tuple[Route, ...] = (Route("search"),)
     default_deadline_ms: float = 370.0
     max_deadline_ms: float = 10_000.0
--- a/src/snipemount/node/catalogue.py
+++ b/src/snipemount/node/catalogue.py
@@ -120,6 +120,15 @@
         found = self._kinds[Kind.PROFILE].records.get(name)
         return found if isinstance(found, Profile) else None
 
+    def profiles(self) -> tuple[Profile, ...]:
+        """Return all profiles."""
+        found = self._kinds[Kind.PROFILE].records.values()
+        return tuple(r for r in found if isinstance(r, Profile))
+
+    def stored_object(self, kind: Kind, name: str) -> StoredObject | None:
+        """Return one object as it was stored, or None."""
+        return self._kinds[kind].stored.get(name)
+
     def members(self) -> tuple[Member, ...]:
         """Return the daemons that the platform lists."""
         found = self._kinds[Kind.MEMBER].records.values()
--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -122,6 +122,14 @@
         move = self._moves.get(service)
         return move.evidence if move is not None else None
 
+    def current_version(self, service: str) -> str | None:
+        """Return the version that carries the traffic; None without a move."""
+        move = self._moves.get(service)
+        if move is None:
+            return None
+        done = move.record.state is MoveState.DONE
+        return move.record.to_version if done else move.record.from_version
+
     def pick_version(self, service: str) -> str | None:
         """Draw the version of a new query; None for the service's active one."""
         move = self._moves.get(service)
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -29,6 +29,7 @@
 from .entry import EntryDriver
 from .mover import Mover
 from .owner import OwnerDriver
+from .recorder import Recorder
 from .sharing import OwnedSharing, Sharing
 
 if TYPE_CHECKING:
@@ -100,11 +101,17 @@
         self.membership = Membership(own, self._timers.now_ms())
         self._sharing = make_sharing(self.membership)
         self.quarantine = Quarantine()
+        self.recorder = Recorder()
         self.catalogue = Catalogue(
             ports.platform, self._timers, random, self._catalogue_changed
         )
         self.owner = OwnerDriver(
-            ports.backend, self._timers, self._sharing, self._exchange_ended, self._lost
+            ports.backend,
+            self._timers,
+            self._sharing,
+            self._exchange_ended,
+            self._lost,
+            self.recorder,
         )
         self.mover = Mover(
             self.catalogue,
@@ -205,6 +212,10 @@
             if member.name != self.own.name:
                 self._ports.peers.send(member, message)
 
+    def is_alive(self, name: str) -> bool:
+        """Return whether a daemon was heard lately."""
+        return self.membership.is_alive(name, self._timers.now_ms())
+
     def known_versions(self, name: str) -> tuple[int, ...]:
         """Return the versions that a daemon last told, by `SHARED_KINDS`."""
         if name == self.own.name:
--- a/src/snipemount/node/owner.py
+++ b/src/snipemount/node/owner.py
@@ -7,6 +7,18 @@
 
 from ..decisions.connections import CloseConnection, OpenConnection, PingConnection
 from ..decisions.latency_reference import LatencyReference
+from ..decisions.owner_dispatch import handle
+from ..decisions.owner_events import (
+    Connected,
+    ConnectFailed,
+    Ended,
+    LaidDown,
+    ServerChanged,
+    ShareSet,
+    Submitted,
+    Ticked,
+    Withdrawn,
+)
 from ..decisions.server_owner import (
     CancelOnServer,
     Dispatch,
@@ -15,20 +27,24 @@
     Strike,
 )
 from ..model.exchange import ExchangeReply, Fate, Reason
+from .recorder import TakenUp
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..decisions.owner_events import OwnerEvent
     from ..decisions.server_owner import BackendOutcome, Origin, OwnerAction
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..model.profile import Profile
     from ..ports.backend import BackendPort
     from ..timers import TimerService
+    from .recorder import Recorder
     from .sharing import Sharing
 
 TICK_MS = 10.0
 SHARE_TICK_MS = 50.0
+CONNECTIONS_PER_OWNER = 1_000_000
 
 
 class OwnerDriver:
@@ -46,6 +62,8 @@
         Takes the end of each exchange with its origin.
     on_strike : Callable
         Takes each server lost to a request that is not known to be harmless.
+    recorder : Recorder
+        Ring of decision events.
     """
 
     def __init__(
@@ -55,12 +73,14 @@
         sharing: Sharing,
         on_reply: Callable[[Origin, ExchangeReply], None],
         on_strike: Callable[[Strike], None],
+        recorder: Recorder,
     ) -> None:
         self._backend = backend
         self._timers = timers
         self._sharing = sharing
         self._on_reply = on_reply
         self._on_strike = on_strike
+        self._recorder = recorder
         self._owners: dict[str, ServerOwner] = {}
         self._servers: dict[str, BackendServer] = {}
         self._profiles: dict[str, Profile] = {}
@@ -68,7 +88,7 @@
         self._was_cold: Callable[[str], bool] = lambda server: True
         self._on_laid_down: Callable[[BackendServer], None] = lambda server: None
         self._stopping = False
-        self._connection_ids = count(1)
+        self._take_ups = count(1)
         timers.call_every(TICK_MS, self._tick)
         timers.call_every(SHARE_TICK_MS, self.update_shares)
 
@@ -112,9 +132,9 @@
         self._profiles = profiles
         for name, owner in list(self._owners.items()):
             if name in servers:
-                owner.update_server(servers[name])
+                self._handle(owner, ServerChanged(servers[name]))
             elif owner.idle:
-                self._run(owner, owner.stop(self._timers.now_ms()))
+                self._handle(owner, LaidDown())
                 del self._owners[name]
         self.update_shares()
 
@@ -132,10 +152,12 @@
             if slots == 0 and owner.slots > 0 and owner.warm:
                 self._on_laid_down(server)
             if slots == 0 and owner.idle:
-                self._run(owner, owner.stop(self._timers.now_ms()))
+                self._handle(owner, LaidDown())
                 del self._owners[name]
                 continue
-            self._run(owner, owner.set_slots(slots, share.connections, now_ms))
+            wanted = ShareSet(slots, share.connections)
+            if wanted != ShareSet(owner.slots, owner.connections):
+                self._handle(owner, wanted)
 
     def submit(self, origin: Origin, exchange: Exchange) -> None:
         """Hand an exchange to the owner of its server."""
@@ -150,13 +172,13 @@
             )
             self._on_reply(origin, reply)
             return
-        self._run(owner, owner.submit(origin, exchange, self._timers.now_ms()))
+        self._handle(owner, Submitted(origin, exchange))
 
     def cancel(self, origin: Origin, server: str) -> None:
         """Drop an exchange that its entry daemon no longer wants."""
         owner = self._owners.get(server)
         if owner is not None:
-            self._run(owner, owner.cancel(origin, self._timers.now_ms()))
+            self._handle(owner, Withdrawn(origin))
 
     def stop(self) -> None:
         """Refuse new exchanges; those that run may end."""
@@ -167,18 +189,23 @@
         profile = self._profiles[server.name]
         reference = self._references.setdefault(profile.name, LatencyReference())
         cold = self._was_cold(server.name)
-        owner = ServerOwner(
-            server, profile, reference, cold, now_ms, self._connection_ids
-        )
+        first = next(self._take_ups) * CONNECTIONS_PER_OWNER
+        owner = ServerOwner(server, profile, reference, cold, now_ms, count(first))
         self._owners[server.name] = owner
+        made = TakenUp(server, profile, cold, first)
+        self._recorder.record(server.name, now_ms, made, [])
         return owner
 
     def _tick(self) -> None:
-        now_ms = self._timers.now_ms()
         for owner in list(self._owners.values()):
-            self._run(owner, owner.tick(now_ms))
+            self._handle(owner, Ticked())
 
-    def _run(self, owner: ServerOwner, actions: list[OwnerAction]) -> None:
+    def _handle(self, owner: ServerOwner, event: OwnerEvent) -> None:
+        """Let an owner decide, keep the event, and carry out its actions."""
+        now_ms = self._timers.now_ms()
+        actions = handle(owner, event, now_ms)
+        if actions or not isinstance(event, Ticked):
+            self._recorder.record(owner.server.name, now_ms, event, actions)
         for action in actions:
             self._carry_out(owner, action)
 
@@ -214,16 +241,13 @@
                 self._on_strike(action)
 
     def _opened(self, owner: ServerOwner, connection_id: int, up: bool) -> None:
-        now_ms = self._timers.now_ms()
-        if up:
-            self._run(owner, owner.connected(connection_id, now_ms))
-        else:
-            self._run(owner, owner.connect_failed(connection_id, now_ms))
+        event = Connected(connection_id) if up else ConnectFailed(connection_id)
+        self._handle(owner, event)
 
     def _ended(
         self, owner: ServerOwner, connection_id: int, outcome: BackendOutcome
     ) -> None:
-        self._run(owner, owner.ended(connection_id, outcome, self._timers.now_ms()))
+        self._handle(owner, Ended(connection_id, outcome))
 
 
 __all__ = ["OwnerDriver"]
--- a/src/snipemount/settings.py
+++ b/src/snipemount/settings.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import tomllib
-from typing import TYPE_CHECKING, Any, get_type_hints
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from .errors import SettingsError
+from .strict_tables import FieldError, build
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 MAX_PORT = 65535
+ROLES = ("read", "operate")
+SHA256_HEX_CHARS = 64
 
 
 def _check_port(instance: object, attribute: attrs.Attribute[int], value: int) -> None:
@@ -140,6 +143,101 @@
     drain_ms: float = attrs.field(default=15_000.0, validator=_check_positive)
 
 
+def _check_role(instance: object, attribute: attrs.Attribute[str], value: str) -> None:
+    if value not in ROLES:
+        raise ValueError(f"must be one of {', '.join(ROLES)}")
+
+
+def _check_sha256(
+    instance: object, attribute: attrs.Attribute[str], value: str
+) -> None:
+    if len(value) != SHA256_HEX_CHARS or set(value) - set("0123456789abcdef"):
+        raise ValueError("must be the SHA-256 of the token in lower-case hex")
+
+
+@attrs.frozen
+class TokenSettings:
+    """Who may use the administration interface.
+
+    Parameters
+    ----------
+    name : str
+        Who; stands in the log of every change.
+    role : str
+        `read`, or `operate` for changes too.
+    sha256 : str
+        SHA-256 of the bearer token, in hex.
+    """
+
+    name: str = attrs.field(validator=_check_text)
+    role: str = attrs.field(validator=_check_role)
+    sha256: str = attrs.field(validator=_check_sha256)
+
+
+@attrs.frozen
+class AdminSettings:
+    """Administration interface.
+
+    Parameters
+    ----------
+    port : int
+        Port; 0 takes a free one.
+    tokens : tuple of TokenSettings
+        Credentials; without any, nothing is shown and nothing changed.
+    """
+
+    port: int = attrs.field(default=8402, validator=_check_port)
+    tokens: tuple[TokenSettings, ...] = ()
+
+
+@attrs.frozen
+class TlsSettings:
+    """Keys of the listeners and the mesh; without files there is no TLS.
+
+    Parameters
+    ----------
+    certificate : str
+        PEM file with the certificate chain.
+    key : str
+        PEM file with the private key.
+    authority : str
+        PEM file with the authority that signs the daemons' certificates.
+    """
+
+    certificate: str = ""
+    key: str = ""
+    authority: str = ""
+
+
+@attrs.frozen
+class SeedSettings:
+    """A daemon to ask while the platform does not answer.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    mesh_port : int
+        Port of its mesh listener.
+    """
+
+    host: str = attrs.field(validator=_check_text)
+    mesh_port: int = attrs.field(validator=_check_port)
+
+
+@attrs.frozen
+class MeshSettings:
+    """Mesh between the daemons.
+
+    Parameters
+    ----------
+    seeds : tuple of SeedSettings
+        Daemons to ask while the platform does not answer.
+    """
+
+    seeds: tuple[SeedSettings, ...] = ()
+
+
 @attrs.frozen
 class Settings:
     """All settings of a daemon; one attribute for each TOML table."""
@@ -150,6 +248,9 @@
     statsd: StatsdSettings = StatsdSettings()
     log: LogSettings = LogSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    admin: AdminSettings = AdminSettings()
+    tls: TlsSettings = TlsSettings()
+    mesh: MeshSettings = MeshSettings()
 
 
 def load_settings(path: Path) -> Settings:
@@ -179,66 +280,25 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: not TOML: {error}") from error
-    tables = get_type_hints(Settings)
-    _refuse_unknown(document, tables, "")
-    parts = {
-        name: _build_table(cls, name, document.get(name))
-        for name, cls in tables.items()
-    }
-    return Settings(**parts)
-
-
-def _build_table(cls: type[Any], name: str, table: object) -> Any:
-    if table is None:
-        table = {}
-    if not isinstance(table, dict):
-        raise SettingsError(f"{name}: must be a table")
-    types = get_type_hints(cls)
-    _refuse_unknown(table, types, f"{name}.")
-    values = {}
-    for key, value in table.items():
-        values[key] = _check_type(f"{name}.{key}", value, types[key])
-    for attribute in attrs.fields(cls):
-        if attribute.default is attrs.NOTHING and attribute.name not in values:
-            raise SettingsError(f"{name}.{attribute.name}: missing")
-    return _construct(cls, name, values)
-
-
-def _construct(cls: type[Any], name: str, values: dict[str, Any]) -> Any:
-    for attribute in attrs.fields(cls):
-        if attribute.validator is None or attribute.name not in values:
-            continue
-        try:
-            attribute.validator(None, attribute, values[attribute.name])
-        except ValueError as error:
-            reason = error.args[0]
-            raise SettingsError(f"{name}.{attribute.name}: {reason}") from error
-    return cls(**values)
-
-
-def _refuse_unknown(table: dict[str, Any], known: dict[str, Any], prefix: str) -> None:
-    for key in table:
-        if key not in known:
-            raise SettingsError(f"{prefix}{key}: unknown key")
-
-
-def _check_type(key: str, value: object, wanted: type[Any]) -> object:
-    if wanted is float and type(value) is int:
-        return float(value)
-    if type(value) is not wanted:
-        found = type(value).__name__
-        raise SettingsError(f"{key}: must be {wanted.__name__}, not {found}")
-    return value
+    try:
+        return build(Settings, "", document)
+    except FieldError as error:
+        raise SettingsError(str(error)) from error
 
 
 __all__ = [
+    "AdminSettings",
     "CallerSettings",
     "DaemonSettings",
     "LogSettings",
+    "MeshSettings",
     "PlatformSettings",
+    "SeedSettings",
     "Settings",
     "ShutdownSettings",
     "StatsdSettings",
+    "TlsSettings",
+    "TokenSettings",
     "load_settings",
     "parse_settings",
 ]
--- a/src/snipemount/standins/harness.py
+++ b/src/snipemount/standins/harness.py
@@ -15,11 +15,13 @@
 from ..node.catalogue import converter
 from ..ports.platform import Kind
 from ..settings import (
+    AdminSettings,
     DaemonSettings,
     LogSettings,
     PlatformSettings,
     Settings,
     ShutdownSettings,
+    TokenSettings,
 )
 from ..timers import LoopTimers
 from .backend_http import BackendStandin
@@ -86,6 +88,7 @@
         self.plan = plan
         self.seed = seed
         self._next_caller_port = first_caller_port
+        self.tokens: tuple[TokenSettings, ...] = ()
         self.store = ObjectStore()
         self.platform = PlatformStandin(self.store)
         self.platform_url = ""
@@ -140,6 +143,7 @@
             ),
             platform=PlatformSettings(self.platform_url),
             log=LogSettings("error"),
+            admin=AdminSettings(0, self.tokens),
             shutdown=ShutdownSettings(balancer_grace_ms=GRACE_MS),
         )
 
