--- a/src/snipemount/decisions/move_plan.py
+++ b/src/snipemount/decisions/move_plan.py
@@ -11,11 +11,13 @@
 if TYPE_CHECKING:
     from ..model.move import MoveRecord
 
-TRIAL_SHARE = 0.04
+TRIAL_SHARE = 0.045
 TRIAL_SAMPLES = 60
-FEW_SAMPLES = 10
+FEW_SAMPLES = 4
 TRIAL_END = 0.3
-NO_SAMPLES_END = 0.5
+NO_SAMPLES_END = 0.6
+LAST_CHANCE = 0.7
+FEW_SEEN = 4
 FULL_SHARE_AT = 0.8
 DONE_AT = 0.95
 RISE_PER_S = 0.1
@@ -129,6 +131,8 @@
             return False
         if evidence.samples >= TRIAL_SAMPLES:
             return True
+        if progress >= LAST_CHANCE and evidence.seen >= FEW_SEEN:
+            return True
         few = evidence.samples >= FEW_SAMPLES
         return progress >= NO_SAMPLES_END and (few or evidence.seen == 0)
 
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -148,8 +148,8 @@
         """Let virtual time pass."""
         self.timers.run_until(self.timers.now_ms() + duration_ms)
 
-    def add_daemon(self, member: Member) -> Daemon:
-        """Start a daemon."""
+    def add_daemon(self, member: Member, seeds: tuple[Member, ...] = ()) -> Daemon:
+        """Start a daemon that may ask `seeds` while the platform is away."""
         process = ProcessTimers(self.timers)
         backend = FakeBackend(
             process,
@@ -161,7 +161,7 @@
         platform = FakePlatform(self.store, process, self.faults)
         ports = Ports(backend, self.mesh.port(member), platform, process)
         random = Random(f"{member.name}/{self.random.random()}")
-        node = Node(member, ports, random, self._make_sharing)
+        node = Node(member, ports, random, self._make_sharing, seeds=seeds)
         daemon = Daemon(node, process, backend, platform)
         self.daemons[member.name] = daemon
         self.mesh.nodes[member.name] = node
--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..decisions.fleet_view import FAILURE_REASONS
-from ..decisions.move_judge import MoveJudge, Observation
+from ..decisions.move_judge import Baseline, MoveJudge, Observation
 from ..decisions.move_plan import MoveEvidence, MovePlan
 from ..model.exchange import Attempt, Fate, Reason
 from ..model.move import EventRecord, MoveRecord, MoveState
@@ -31,6 +31,7 @@
 END_RETRY_MS = 1000.0
 END_STAGGER_MS = 400.0
 EXCUSE_MS = 30_000.0
+EXCUSE_SHARE = 0.2
 JUDGED_FAILURES = FAILURE_REASONS | {Reason.EJECTED}
 COLD_FAULTS = frozenset({Reason.CONNECTION_LOST, Reason.CONNECT_FAILED, Reason.TIMEOUT})
 
@@ -108,6 +109,7 @@
         self._broadcast = broadcast
         self._on_event = on_event
         self._moves: dict[str, RunningMove] = {}
+        self._baselines: dict[tuple[str, str, str], Baseline] = {}
         self._reported: set[str] = set()
         self._first_seen_ms: dict[str, float] = {}
         timers.call_every(TICK_MS, self._tick)
@@ -150,7 +152,8 @@
         for record in self._catalogue.moves():
             known = self._moves.get(record.service)
             if known is None or known.record.move_id != record.move_id:
-                judge = MoveJudge(record.move_id)
+                old = partial(self._baseline, record.service, record.from_version)
+                judge = MoveJudge(record.move_id, old)
                 known = RunningMove(record, MovePlan(record), judge)
                 self._moves[record.service] = known
             known.record = record
@@ -162,21 +165,27 @@
     def observe(
         self, exchange: Exchange, reply: ExchangeReply, zone: str, elapsed_ms: float
     ) -> None:
-        """Learn from the end of an exchange during a move."""
-        move = self._moves.get(exchange.service)
-        if move is None or move.record.state.final:
-            return
+        """Learn from the end of an exchange; during a move, judge by it."""
         if exchange.attempt is not Attempt.FIRST:
             return
-        seen = self._observation(exchange, reply, zone, elapsed_ms)
+        move = self._moves.get(exchange.service)
+        seen = self._observation(move, exchange, reply, zone, elapsed_ms)
         if seen is None:
             return
         version = exchange.snapshot.split("/")[1]
+        self._baseline(exchange.service, version, exchange.route).add(seen)
+        if move is None or move.record.state.final:
+            return
         if version == move.record.to_version:
             move.judge.see_new(seen)
             self._check(move)
-        elif version == move.record.from_version:
-            move.judge.see_old(seen)
+
+    def _baseline(self, service: str, version: str, route: str) -> Baseline:
+        key = (service, version, route)
+        found = self._baselines.get(key)
+        if found is None:
+            found = self._baselines[key] = Baseline()
+        return found
 
     def hear(self, message: ReportEvidence | ReportBadMove) -> None:
         """Take the evidence or the judgement of another daemon."""
@@ -190,7 +199,12 @@
                         self._stop_locally(move, reason)
 
     def _observation(
-        self, exchange: Exchange, reply: ExchangeReply, zone: str, elapsed_ms: float
+        self,
+        move: RunningMove | None,
+        exchange: Exchange,
+        reply: ExchangeReply,
+        zone: str,
+        elapsed_ms: float,
     ) -> Observation | None:
         """Return the observation; None when it says nothing of the version."""
         failed = reply.reason in JUDGED_FAILURES
@@ -198,19 +212,26 @@
         told_speed = reply.fate is Fate.ANSWERED or cancelled
         if not failed and not told_speed:
             return None
-        excused = self._is_excused(reply, failed)
+        excused = self._is_excused(move, reply, failed)
         latency_ms = max(0.0, elapsed_ms - reply.waited_ms)
         return Observation(exchange.route, zone, failed, latency_ms, excused)
 
-    def _is_excused(self, reply: ExchangeReply, failed: bool) -> bool:
+    def _is_excused(
+        self, move: RunningMove | None, reply: ExchangeReply, failed: bool
+    ) -> bool:
         """Return whether the server was warming up; not for ever."""
         if reply.load is None or not reply.load.cold:
             return False
+        told_little = not failed or reply.reason in COLD_FAULTS
+        if move is None:
+            return told_little
         now_ms = self._timers.now_ms()
         first_ms = self._first_seen_ms.setdefault(reply.server, now_ms)
-        if now_ms - first_ms > EXCUSE_MS:
+        record = move.record
+        length_ms = record.finish_wall_ms - record.started_wall_ms
+        if now_ms - first_ms > min(EXCUSE_MS, length_ms * EXCUSE_SHARE):
             return False
-        return not failed or reply.reason in COLD_FAULTS
+        return told_little
 
     def _tick(self) -> None:
         for move in self._moves.values():
