--- a/src/snipemount/decisions/move_judge.py
+++ b/src/snipemount/decisions/move_judge.py
@@ -14,6 +14,7 @@
 
 ALARM = 12.0
 CLEAN_BELOW = 6.0
+SPOTLESS_BELOW = 2.0
 MOST_EVIDENCE = 24.0
 LEAST_FAILURE_RATE = 0.005
 LEAST_BAD_FAILURE_RATE = 0.05
@@ -226,6 +227,11 @@
         """Whether nothing but one zone speaks against the new version just now."""
         return all(self._strength(s) < CLEAN_BELOW for s in self._sums.values())
 
+    @property
+    def spotless(self) -> bool:
+        """Whether next to nothing speaks against it, so that it may be done."""
+        return all(self._strength(s) < SPOTLESS_BELOW for s in self._sums.values())
+
     @property
     def reason(self) -> str:
         """One line on what speaks against the new version most."""
--- a/src/snipemount/decisions/move_plan.py
+++ b/src/snipemount/decisions/move_plan.py
@@ -18,6 +18,7 @@
 NO_SAMPLES_END = 0.6
 LAST_CHANCE = 0.7
 FEW_SEEN = 4
+SAMPLES_TO_END = 12
 FULL_SHARE_AT = 0.8
 DONE_AT = 0.95
 RISE_PER_S = 0.1
@@ -38,12 +39,15 @@
         Whether nothing speaks against it just now.
     bad : bool
         Whether it has been judged bad.
+    spotless : bool
+        Whether next to nothing speaks against it.
     """
 
     seen: int
     samples: int
     clean: bool
     bad: bool
+    spotless: bool = True
 
 
 class MovePlan:
@@ -89,8 +93,9 @@
 
     def is_due(self, evidence: MoveEvidence, wall_ms: float) -> bool:
         """Return whether the move may be called done."""
-        ended = self._progress(wall_ms) >= DONE_AT
-        return ended and self.share >= 1.0 and evidence.clean and not evidence.bad
+        ended = self._progress(wall_ms) >= DONE_AT and self.share >= 1.0
+        judged = evidence.seen == 0 or evidence.samples >= SAMPLES_TO_END
+        return ended and judged and evidence.spotless and not evidence.bad
 
     def is_overdue(self, wall_ms: float) -> bool:
         """Return whether the finishing time has passed without proof."""
--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -67,7 +67,9 @@
     def evidence(self) -> MoveEvidence:
         """What the judge has seen."""
         judge = self.judge
-        return MoveEvidence(judge.seen, judge.samples, judge.clean, judge.bad)
+        return MoveEvidence(
+            judge.seen, judge.samples, judge.clean, judge.bad, judge.spotless
+        )
 
 
 class Mover:
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -227,7 +227,7 @@
 
     def _beat_neighbours(self, message: Heartbeat) -> None:
         self._update_neighbours()
-        for name in self.membership.neighbours:
+        for name in sorted(self.membership.neighbours):
             member = self._member(name)
             if member is not None:
                 self._ports.peers.send(member, message)
--- /dev/null
+++ b/tests/decisions/ownership.feature
@@ -0,0 +1,18 @@
+Feature: The shares of a server never add up to more than the whole
+
+  Scenario: Pauses, cuts, deaths and joins in any order
+    Then for any faults among 3 daemons their shares of a server stay within its slots
+
+  Scenario: A slow exchange is hedged, and the loser is cancelled
+    Given a query on two servers of which the first is slow
+    When the hedge delay has passed
+    Then a hedge is sent to the second server alone
+    And the first answer ends the query and cancels the other exchange
+
+  Scenario: A reply from another daemon or to another request is dropped
+    Given a small deployment under load that has warmed up
+    And a daemon forges replies to the exchanges of the others
+    When the load is 40 queries a second for 2 s
+    And 3 s pass
+    Then forged replies came
+    And every request has one answer and its hits are right
