--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python benchmarks/leg_cost.py
+	$(BIN)/python benchmarks/entry_memory.py
+	$(BIN)/python benchmarks/control_cost.py
 
 clean:
 	rm -rf $(VENV)
--- a/benchmarks/mechanisms.py
+++ b/benchmarks/mechanisms.py
@@ -90,7 +90,7 @@
         ownership.Ownership,
         "share",
         _whole,
-        "guarantees/cold_start.feature",
+        "decisions/ownership.feature",
     ),
     Removal(
         "quarantine after two crashes",
@@ -111,14 +111,14 @@
         entry.Pending,
         "matches",
         _true,
-        "guarantees/delivery.feature",
+        "decisions/ownership.feature",
     ),
     Removal(
         "hedges",
         query_run.QueryRun,
         "_may_hedge",
         _false,
-        "guarantees/delivery.feature",
+        "decisions/ownership.feature",
     ),
     Removal(
         "claims decided by what is stored",
