--- a/src/snipemount/adapters/mesh_codec.py
+++ b/src/snipemount/adapters/mesh_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from enum import IntEnum
 from typing import Any
 
 import attrs
@@ -43,18 +44,23 @@
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 4_000_000
 MAX_MESSAGES = 4096
-TAG_HEARTBEAT = 1
-TAG_GOODBYE = 2
-TAG_SUBMIT = 3
-TAG_WITHDRAW = 4
-TAG_REPORT = 5
-TAG_STRIKE = 6
-TAG_WARM = 7
-TAG_EVIDENCE = 8
-TAG_BAD_MOVE = 9
-TAG_ASK = 10
-TAG_TELL = 11
-TAG_DOWN = 12
+
+
+class Tag(IntEnum):
+    """First field of each message: its kind."""
+
+    HEARTBEAT = 1
+    GOODBYE = 2
+    SUBMIT = 3
+    WITHDRAW = 4
+    REPORT = 5
+    STRIKE = 6
+    WARM = 7
+    EVIDENCE = 8
+    BAD_MOVE = 9
+    ASK = 10
+    TELL = 11
+    DOWN = 12
 
 
 class FrameEncoder:
@@ -71,34 +77,34 @@
         """Add a message to the frame."""
         match message:
             case SubmitExchange(exchange):
-                self._messages.append([TAG_SUBMIT, *self._exchange(exchange)])
+                self._messages.append([Tag.SUBMIT.value, *self._exchange(exchange)])
             case ReportExchange(reply):
-                self._messages.append([TAG_REPORT, *self._reply(reply)])
+                self._messages.append([Tag.REPORT.value, *self._reply(reply)])
             case WithdrawExchange(exchange_id, server):
                 text = self._text(server)
-                self._messages.append([TAG_WITHDRAW, exchange_id, text])
+                self._messages.append([Tag.WITHDRAW.value, exchange_id, text])
             case Heartbeat(member, versions):
                 fields = [member.name, member.zone, member.host, member.mesh_port]
                 fields += [member.leaving, versions]
-                self._messages.append([TAG_HEARTBEAT, *fields])
+                self._messages.append([Tag.HEARTBEAT.value, *fields])
             case Goodbye(name):
-                self._messages.append([TAG_GOODBYE, name])
+                self._messages.append([Tag.GOODBYE.value, name])
             case ReportDown(name):
-                self._messages.append([TAG_DOWN, name])
+                self._messages.append([Tag.DOWN.value, name])
             case ReportStrike(notice):
                 fields = [notice.notice_id, notice.fingerprint, notice.server]
-                self._messages.append([TAG_STRIKE, *fields])
+                self._messages.append([Tag.STRIKE.value, *fields])
             case ReportWarm(servers):
-                self._messages.append([TAG_WARM, servers])
+                self._messages.append([Tag.WARM.value, servers])
             case ReportEvidence(share):
-                self._messages.append([TAG_EVIDENCE, *attrs.astuple(share)])
+                self._messages.append([Tag.EVIDENCE.value, *attrs.astuple(share)])
             case ReportBadMove(move_id, reason):
-                self._messages.append([TAG_BAD_MOVE, move_id, reason])
+                self._messages.append([Tag.BAD_MOVE.value, move_id, reason])
             case AskCatalogue(kind, version):
-                self._messages.append([TAG_ASK, kind.value, version])
+                self._messages.append([Tag.ASK.value, kind.value, version])
             case TellCatalogue(kind, version, objects):
                 specs = [[o.name, o.version, o.spec] for o in objects]
-                self._messages.append([TAG_TELL, kind.value, version, specs])
+                self._messages.append([Tag.TELL.value, kind.value, version, specs])
 
     def take(self) -> bytes:
         """Return the frame and begin a new one."""
@@ -188,14 +194,14 @@
 def _decode(fields: list[Any], texts: list[str]) -> PeerMessage:
     tag, *rest = fields
     match tag:
-        case 3:
+        case Tag.SUBMIT:
             return SubmitExchange(_exchange(rest, texts))
-        case 5:
+        case Tag.REPORT:
             return ReportExchange(_reply(rest, texts))
-        case 4:
+        case Tag.WITHDRAW:
             exchange_id, server = rest
             return WithdrawExchange(_integer(exchange_id), texts[server])
-        case 1:
+        case Tag.HEARTBEAT:
             name, zone, host, port, leaving, versions = rest
             member = Member(
                 _string(name),
@@ -205,30 +211,30 @@
                 bool(leaving),
             )
             return Heartbeat(member, tuple(_integer(v) for v in versions))
-        case 2:
+        case Tag.GOODBYE:
             (name,) = rest
             return Goodbye(_string(name))
-        case 12:
+        case Tag.DOWN:
             (name,) = rest
             return ReportDown(_string(name))
-        case 6:
+        case Tag.STRIKE:
             notice_id, fingerprint, server = rest
             notice = StrikeNotice(
                 _string(notice_id), _string(fingerprint), _string(server)
             )
             return ReportStrike(notice)
-        case 7:
+        case Tag.WARM:
             (servers,) = rest
             return ReportWarm(tuple(_string(server) for server in servers))
-        case 8:
+        case Tag.EVIDENCE:
             return ReportEvidence(_evidence(rest))
-        case 9:
+        case Tag.BAD_MOVE:
             move_id, reason = rest
             return ReportBadMove(_string(move_id), _string(reason))
-        case 10:
+        case Tag.ASK:
             kind, known = rest
             return AskCatalogue(Kind(kind), _integer(known))
-        case 11:
+        case Tag.TELL:
             kind, known, specs = rest
             objects = tuple(_stored(Kind(kind), item) for item in specs)
             return TellCatalogue(Kind(kind), _integer(known), objects)
--- a/src/snipemount/model/exchange.py
+++ b/src/snipemount/model/exchange.py
@@ -121,6 +121,11 @@
     proven: bool = False
     last_resort: bool = False
 
+    @property
+    def version(self) -> str:
+        """Software version named by the snapshot's token."""
+        return self.snapshot.split("/")[1]
+
 
 @attrs.define
 class Hit:
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -348,7 +348,7 @@
         self._mover.observe(exchange, reply, zone, elapsed_ms)
         if reply.fate is not Fate.ANSWERED:
             return
-        version = exchange.snapshot.split("/")[1]
+        version = exchange.version
         self._quarantine.prove(exchange.fingerprint, version)
         self._release_waiting(job)
 
--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -174,7 +174,7 @@
         seen = self._observation(move, exchange, reply, zone, elapsed_ms)
         if seen is None:
             return
-        version = exchange.snapshot.split("/")[1]
+        version = exchange.version
         self._baseline(exchange.service, version, exchange.route).add(seen)
         if move is None or move.record.state.final:
             return
