--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -10,7 +10,6 @@
 from ..decisions.quarantine import Quarantine, StrikeNotice
 from ..decisions.server_owner import Origin
 from ..ports.peer import (
-    SHARED_KINDS,
     AskCatalogue,
     Goodbye,
     Heartbeat,
@@ -26,12 +25,14 @@
 )
 from ..ports.platform import Kind
 from .catalogue import Catalogue
+from .catalogue_exchange import CatalogueExchange
 from .claimer import Claimer
 from .entry import EntryDriver
 from .mover import Mover
 from .owner import OwnerDriver
 from .recorder import Recorder
 from .sharing import OwnedSharing, Sharing
+from .warmth import Warmth
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,12 +52,8 @@
 
 STOP_POLL_MS = 10.0
 MEMBER_TICK_MS = 50.0
-WARM_PERIOD_MS = 1000.0
-WARM_MEMORY_MS = 5000.0
-CATCH_UP_MS = 400.0
 BEAT_ALL_MS = 30_000.0
 TELL_DOWN_MS = 3000.0
-FORGET_BEHIND_MS = 4000.0
 
 
 @attrs.frozen
@@ -136,16 +133,14 @@
             self._route,
             self._withdraw,
         )
-        self.owner.connect_warmth(self._was_cold, self._laid_down)
+        self._warmth = Warmth(self.owner, self._sharing, self._timers, self._tell)
+        self._exchange = CatalogueExchange(self.catalogue, self._timers, self._tell)
         self._seeds = seeds
         self._told_versions: tuple[int, ...] = ()
         self._told_all_ms = -BEAT_ALL_MS
         self._told_down_ms: dict[str, float] = {}
         self._servers_generation = 0
         self._neighbours_of = (-1, -1)
-        self._versions: dict[str, tuple[int, ...]] = {}
-        self._behind_ms: dict[Kind, float] = {}
-        self._warm_told_ms: dict[str, float] = {}
         self._servers: dict[str, BackendServer] = {}
         self._stopped = False
         self._strike_count = 0
@@ -162,7 +157,7 @@
         self._beat()
         self._timers.call_every(HEARTBEAT_PERIOD_MS, self._beat)
         self._timers.call_every(MEMBER_TICK_MS, self._tick)
-        self._timers.call_every(WARM_PERIOD_MS, self._tell_successors)
+        self._warmth.start()
 
     def submit(self, request: Request, done: Callable[[Answer], None]) -> None:
         """Run a checked request; `done` gets its one answer."""
@@ -178,10 +173,9 @@
         match message:
             case Heartbeat(member, versions):
                 self.membership.heard(member, self._timers.now_ms())
-                self._versions[member.name] = versions
-                self._catch_up(member, versions)
+                self._exchange.heard(member.name, versions)
             case AskCatalogue(kind, version):
-                self._tell_catalogue(sender, kind, version)
+                self._exchange.asked(sender, kind, version)
             case TellCatalogue(kind, version, objects):
                 self.catalogue.take_from_peer(kind, version, objects)
             case ReportEvidence() | ReportBadMove():
@@ -195,8 +189,7 @@
             case ReportStrike(notice):
                 self.quarantine.strike(notice, self._timers.now_ms())
             case ReportWarm(servers):
-                now_ms = self._timers.now_ms()
-                self._warm_told_ms.update(dict.fromkeys(servers, now_ms))
+                self._warmth.heard(servers)
             case ReportDown(name):
                 if name == self.own.name:
                     self._told_all_ms = -BEAT_ALL_MS
@@ -213,7 +206,7 @@
         if self._stopped:
             return
         now_ms = self._timers.now_ms()
-        versions = tuple(self.catalogue.version(kind) for kind in SHARED_KINDS)
+        versions = self._exchange.own_versions()
         message = Heartbeat(self.own, versions)
         changed = versions != self._told_versions
         if changed or now_ms - self._told_all_ms > BEAT_ALL_MS:
@@ -228,9 +221,7 @@
     def _beat_neighbours(self, message: Heartbeat) -> None:
         self._update_neighbours()
         for name in sorted(self.membership.neighbours):
-            member = self._member(name)
-            if member is not None:
-                self._ports.peers.send(member, message)
+            self._tell(name, message)
 
     def _update_neighbours(self) -> None:
         generation = (self.membership.generation, self._servers_generation)
@@ -251,6 +242,12 @@
                 self._told_down_ms[name] = now_ms
                 self._broadcast(ReportDown(name))
 
+    def _tell(self, name: str, message: PeerMessage) -> None:
+        """Send a message to another daemon, if it is known."""
+        member = self._member(name)
+        if member is not None and name != self.own.name:
+            self._ports.peers.send(member, message)
+
     def _broadcast(self, message: PeerMessage) -> None:
         for member in self.membership.members:
             if member.name != self.own.name:
@@ -263,34 +260,8 @@
     def known_versions(self, name: str) -> tuple[int, ...]:
         """Return the versions that a daemon last told, by `SHARED_KINDS`."""
         if name == self.own.name:
-            return tuple(self.catalogue.version(kind) for kind in SHARED_KINDS)
-        return self._versions.get(name, ())
-
-    def _catch_up(self, member: Member, versions: tuple[int, ...]) -> None:
-        """Ask a daemon that has seen higher versions than the platform told us.
-
-        The platform is given a moment to tell them itself.
-        """
-        now_ms = self._timers.now_ms()
-        for kind, version in zip(SHARED_KINDS, versions, strict=False):
-            if version <= self.catalogue.version(kind):
-                continue
-            noticed_ms = self._behind_ms.get(kind, -FORGET_BEHIND_MS)
-            behind_ms = now_ms - noticed_ms
-            if behind_ms >= FORGET_BEHIND_MS:
-                self._behind_ms[kind] = now_ms
-            if not CATCH_UP_MS <= behind_ms < FORGET_BEHIND_MS:
-                continue
-            self._behind_ms[kind] = now_ms
-            own_version = self.catalogue.version(kind)
-            self._ports.peers.send(member, AskCatalogue(kind, own_version))
-
-    def _tell_catalogue(self, sender: str, kind: Kind, version: int) -> None:
-        member = self._member(sender)
-        known = self.catalogue.version(kind)
-        if member is not None and known > version:
-            objects = self.catalogue.stored(kind)
-            self._ports.peers.send(member, TellCatalogue(kind, known, objects))
+            return self._exchange.own_versions()
+        return self._exchange.versions_of(name)
 
     def _tick(self) -> None:
         if self.membership.tick(self._timers.now_ms()):
@@ -338,17 +309,13 @@
         if daemon == self.own.name:
             self.owner.cancel(Origin(daemon, exchange_id), server)
             return
-        member = self._member(daemon)
-        if member is not None:
-            self._ports.peers.send(member, WithdrawExchange(exchange_id, server))
+        self._tell(daemon, WithdrawExchange(exchange_id, server))
 
     def _exchange_ended(self, origin: Origin, reply: ExchangeReply) -> None:
         if origin.daemon == self.own.name:
             self._timers.call_soon(lambda: self.entry.replied(reply, origin.daemon))
             return
-        member = self._member(origin.daemon)
-        if member is not None:
-            self._ports.peers.send(member, ReportExchange(reply))
+        self._tell(origin.daemon, ReportExchange(reply))
 
     def _lost(self, strike: Strike) -> None:
         self._strike_count += 1
@@ -357,33 +324,6 @@
         self.quarantine.strike(notice, self._timers.now_ms())
         self._broadcast(ReportStrike(notice))
 
-    def _was_cold(self, server: str) -> bool:
-        """Return whether a server taken up now is to be warmed up first."""
-        told_ms = self._warm_told_ms.get(server)
-        if told_ms is None:
-            return True
-        return self._timers.now_ms() - told_ms > WARM_MEMORY_MS
-
-    def _laid_down(self, server: BackendServer) -> None:
-        """Tell the new owner of a server that it is warm."""
-        name = self._sharing.daemon_for(server, self._timers.now_ms())
-        self._tell_warm(name, (server.name,))
-
-    def _tell_successors(self) -> None:
-        """Tell who would own each warm server after this daemon."""
-        told: dict[str, list[str]] = {}
-        for server in self.owner.warm_servers:
-            successor = self._sharing.successor(server)
-            if successor is not None:
-                told.setdefault(successor, []).append(server.name)
-        for name, servers in told.items():
-            self._tell_warm(name, tuple(servers))
-
-    def _tell_warm(self, name: str | None, servers: tuple[str, ...]) -> None:
-        member = self._member(name) if name is not None else None
-        if member is not None and member.name != self.own.name:
-            self._ports.peers.send(member, ReportWarm(servers))
-
     def _member(self, name: str) -> Member | None:
         return self.membership.member(name)
 
