Recorder: ring of 2,000 events

Cause: 20,000 events with their exchanges and hits may hold tens of megabytes of a daemon's 64 (reckoned from 3 to 5 KB an event, not measured).

--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -14,6 +14,7 @@
 from ..model.request import Priority, Request
 from ..node.catalogue import converter
 from ..node.node import Node, Ports
+from ..node.recorder import RING_LENGTH, Recorder
 from ..node.sharing import OwnedSharing, Sharing
 from ..ports.peer import ReportWarm
 from ..ports.platform import Kind, Missing
@@ -104,6 +105,8 @@
         Speed and faults of all servers; each service sets its own time.
     warm : bool
         Whether servers and daemons start out warm.
+    ring_length : int
+        Decision events that each daemon keeps.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         adjust_profile: Callable[[Profile], Profile] = lambda profile: profile,
         behaviour: Behaviour | None = None,
         warm: bool = True,
+        ring_length: int = RING_LENGTH,
     ) -> None:
         self.plan = plan
         self.random = Random(seed)
@@ -132,6 +136,7 @@
         self._ports = PortCounter()
         self._behaviour = behaviour or Behaviour()
         self._warm = warm
+        self._ring_length = ring_length
         for service in plan.services:
             self._add_service(service, adjust_profile)
         for member in build_members(plan, self._ports):
@@ -161,7 +166,14 @@
         platform = FakePlatform(self.store, process, self.faults)
         ports = Ports(backend, self.mesh.port(member), platform, process)
         random = Random(f"{member.name}/{self.random.random()}")
-        node = Node(member, ports, random, self._make_sharing, seeds=seeds)
+        node = Node(
+            member,
+            ports,
+            random,
+            self._make_sharing,
+            seeds=seeds,
+            recorder=Recorder(self._ring_length),
+        )
         daemon = Daemon(node, process, backend, platform)
         self.daemons[member.name] = daemon
         self.mesh.nodes[member.name] = node
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -83,6 +83,8 @@
         Takes each event that this daemon has stored for the operators.
     seeds : tuple of Member, optional
         Daemons to ask while the platform does not answer.
+    recorder : Recorder, optional
+        Ring of decision events; one of the usual length if left out.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         make_sharing: Callable[[Membership], Sharing] = OwnedSharing,
         on_event: Callable[[EventRecord], None] = lambda event: None,
         seeds: tuple[Member, ...] = (),
+        recorder: Recorder | None = None,
     ) -> None:
         self.own = own
         self.start_id = f"{random.getrandbits(32):08x}"
@@ -101,7 +104,7 @@
         self.membership = Membership(own, self._timers.now_ms())
         self._sharing = make_sharing(self.membership)
         self.quarantine = Quarantine()
-        self.recorder = Recorder()
+        self.recorder = recorder or Recorder()
         self.catalogue = Catalogue(
             ports.platform, self._timers, random, self._catalogue_changed
         )
--- a/src/snipemount/node/recorder.py
+++ b/src/snipemount/node/recorder.py
@@ -22,7 +22,7 @@
     from ..decisions.owner_events import OwnerEvent
     from ..decisions.server_owner import OwnerAction
 
-RING_LENGTH = 20_000
+RING_LENGTH = 2000
 TRACE_VERSION = 1
 MAX_LINE_CHARS = 1_000_000
 converter = cattrs.Converter()
@@ -59,10 +59,15 @@
     """Keeps the latest decision events of a daemon.
 
     Ticks without any action are left out; they change nothing.
+
+    Parameters
+    ----------
+    length : int
+        Events kept.
     """
 
-    def __init__(self) -> None:
-        self._ring: deque[Entry] = deque(maxlen=RING_LENGTH)
+    def __init__(self, length: int = RING_LENGTH) -> None:
+        self._ring: deque[Entry] = deque(maxlen=length)
         self._number = 0
 
     def record(
@@ -189,4 +194,4 @@
     return [type(value).__name__, converter.unstructure(value)]
 
 
-__all__ = ["Recorder", "ReplayResult", "TakenUp", "replay"]
+__all__ = ["RING_LENGTH", "Recorder", "ReplayResult", "TakenUp", "replay"]
--- a/tests/steps/replay_steps.py
+++ b/tests/steps/replay_steps.py
@@ -4,15 +4,22 @@
 
 import json
 
-from behave import then
+from behave import given, then
 from hypothesis import example
 from hypothesis import given as given_any
 from hypothesis import strategies as st
+from small_world import make_world, warm_up
 
 from snipemount.errors import DecodeError
 from snipemount.node.recorder import replay
 
 
+@given("a small deployment under load whose rings are long")
+def step_long(context):
+    context.world = make_world(ring_length=100_000)
+    warm_up(context.world)
+
+
 def trace_of(context):
     """Return the trace of the first daemon that has one."""
     for daemon in context.world.daemons.values():
