--- a/src/snipemount/experiments/serving.py
+++ b/src/snipemount/experiments/serving.py
@@ -13,6 +13,7 @@
 from ..standins.backend_model import Behaviour
 from ..standins.deployments import Deployment
 from .report import Figures, Report, Target, summarize
+from .round_robin import use_round_robin
 from .world import World
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
 GOODPUT_TARGET = 0.9
 MEAN_OVER_MEDIAN = 1.063
 POISON_SENT = 50
+ROUND_ROBIN = "round robin"
 
 
 @attrs.frozen
@@ -151,8 +153,14 @@
         by_rate: dict[float, Figures] = {}
         for rate in (0.0, 0.01, 0.05):
             behaviour = Behaviour(straggler_rate=rate)
-            for name, adjust in (("ours", _same), ("no hedges", without_hedges)):
+            for name, adjust in (
+                ("ours", _same),
+                ("no hedges", without_hedges),
+                (ROUND_ROBIN, without_hedges),
+            ):
                 world = setup.world(behaviour, adjust)
+                if name == ROUND_ROBIN:
+                    use_round_robin(world, setup.service)
                 lead_in(world, setup)
                 label = f"{setup.service} {rate:.0%} stragglers, {name}"
                 row = run_load(world, setup, 0.5, label, rate)
--- a/tests/steps/submit_steps.py
+++ b/tests/steps/submit_steps.py
@@ -106,8 +106,11 @@
     name = sorted(world.daemons)[0]
     submit(world, key, name)
     writes = world.store.calls["write"]
-    while world.store.calls["write"] == writes:
+    for _ in range(4000):
+        if world.store.calls["write"] > writes:
+            break
         world.run_for(0.25)
+    assert world.store.calls["write"] > writes, "the key was never claimed"
     world.kill_daemon(name)
     world.samples.clear()
 
