--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint bench clean
+.PHONY: demo test lint bench soak clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,8 @@
 	$(BIN)/python benchmarks/entry_memory.py
 	$(BIN)/python benchmarks/control_cost.py
 
+soak: $(VENV)/.installed
+	$(BIN)/snipemount experiment soak
+
 clean:
 	rm -rf $(VENV)
--- a/src/snipemount/queries/experiment.py
+++ b/src/snipemount/queries/experiment.py
@@ -11,7 +11,7 @@
 import cappa
 
 from ..errors import ResultCode, SnipemountError
-from ..experiments import serving, steering
+from ..experiments import serving, soak, steering
 from ..experiments.report import Report, plot, to_text
 
 if TYPE_CHECKING:
@@ -32,6 +32,7 @@
     MOVES = "moves"
     IN_FORCE = "in-force"
     ZONE_MOVE = "zone-move"
+    SOAK = "soak"
 
 
 EXPERIMENTS: dict[ExperimentName, Callable[[], Report]] = {
@@ -45,6 +46,7 @@
     ExperimentName.PROVING: serving.proving,
     ExperimentName.IN_FORCE: steering.in_force,
     ExperimentName.ZONE_MOVE: steering.zone_move,
+    ExperimentName.SOAK: soak.soak,
 }
 
 
