--- a/src/snipemount/decisions/cold_start.py
+++ b/src/snipemount/decisions/cold_start.py
@@ -10,6 +10,7 @@
     from .latency_reference import LatencyReference
 
 SLOW_RATIO = 2.0
+SLOW_SETBACK = 2
 SLOWNESS_DRIFT = 0.55
 MOST_LOG_RATIO = 1.2
 SLOWNESS_LIMIT = 1.7
@@ -93,6 +94,8 @@
     def _see_while_cold(self, ratio: float, now_ms: float) -> None:
         if ratio <= SLOW_RATIO:
             self._climb(now_ms)
+        else:
+            self._answers = max(0, self._answers - SLOW_SETBACK)
 
     def _see_while_warm(self, ratio: float, latency_ms: float, now_ms: float) -> None:
         log_ratio = min(MOST_LOG_RATIO, math.log(max(ratio, 0.01)))
--- a/src/snipemount/experiments/soak.py
+++ b/src/snipemount/experiments/soak.py
@@ -23,6 +23,7 @@
 ROUND_MS = 8000.0
 FAULT_MS = 4000.0
 TAIL_MS = 8000.0
+LEAD_MS = 3000.0
 QUERIES_PER_S = 60.0
 SUBMITS_PER_S = 10.0
 
@@ -126,7 +127,7 @@
     """Run rounds of two faults each; count what breaks a guarantee."""
     world = World(SMALL, seed)
     run = Soak(world, Random(seed))
-    duration_ms = rounds * ROUND_MS
+    duration_ms = LEAD_MS + rounds * ROUND_MS
     world.load("busy", QUERIES_PER_S, duration_ms)
     world.load(
         "small",
@@ -134,6 +135,7 @@
         duration_ms,
         lambda: world.request("small", repeatable=False),
     )
+    world.run_for(LEAD_MS)
     for _ in range(rounds):
         for fault in run.random.sample(list(Fault), 2):
             run.bring_about(fault)
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -141,7 +141,10 @@
             self._add_service(service, adjust_profile)
         for member in build_members(plan, self._ports):
             self.store.put(Kind.MEMBER, member.name, converter.unstructure(member))
-            self.add_daemon(member)
+            daemon = self.add_daemon(member)
+            if warm:
+                servers = ReportWarm(tuple(self.models))
+                daemon.node.received("former-owner", servers)
         self.run_for(SETTLE_MS)
 
     @property
@@ -179,8 +182,6 @@
         self.mesh.nodes[member.name] = node
         self.mesh.processes[member.name] = process
         node.start()
-        if self._warm:
-            node.received("former-owner", ReportWarm(tuple(self.models)))
         return daemon
 
     def kill_daemon(self, name: str) -> None:
