--- a/src/snipemount/errors.py
+++ b/src/snipemount/errors.py
@@ -187,7 +187,9 @@
 
 
 class DecodeError(SnipemountError):
-    """A message from a peer or a backend server is malformed."""
+    """A message, an answer or a trace is malformed."""
+
+    exit_status = 2
 
     def __init__(self, detail: str) -> None:
         super().__init__(ResultCode.MALFORMED_BODY, detail)
--- a/src/snipemount/queries/traces.py
+++ b/src/snipemount/queries/traces.py
@@ -15,7 +15,7 @@
 from ..node.recorder import replay
 
 EXIT_DIFFERENT = 1
-EXIT_INCOMPLETE = 2
+EXIT_INCOMPLETE = 5
 
 
 @cappa.command(name="record", help="Fetch a daemon's decision events.")
