Moves: the 5% bound on a bad version's share is checked; dead names removed

Cause: the bound was declared and never compared, so the experiment could not miss it. An error class and a limit that nothing used are gone.

--- a/src/snipemount/errors.py
+++ b/src/snipemount/errors.py
@@ -182,10 +182,6 @@
         super().__init__(ResultCode.NOT_FOUND, detail)
 
 
-class ResumeExpiredError(PlatformError):
-    """A watch cannot resume from so old a version; list again."""
-
-
 class DecodeError(SnipemountError):
     """A message, an answer or a trace is malformed."""
 
@@ -204,7 +200,6 @@
     "RemoteError",
     "RequestError",
     "ResultCode",
-    "ResumeExpiredError",
     "SettingsError",
     "SnipemountError",
 ]
--- a/src/snipemount/experiments/steering.py
+++ b/src/snipemount/experiments/steering.py
@@ -146,7 +146,12 @@
     done = sum(o.state is MoveState.DONE for o in good)
     false = sum(o.state is MoveState.TAKEN_BACK for o in good)
     completed = sum(o.state is MoveState.DONE for o in bad)
+    greatest = max((o.bad_share for o in bad), default=0.0)
     targets = (
+        Target(
+            f"greatest share of a bad version {greatest:.3f}, at most 0.05",
+            greatest <= MOST_BAD_SHARE,
+        ),
         Target(f"{completed} of {len(bad)} bad moves completed, none", completed == 0),
         Target(
             f"{false} of {len(good)} good moves taken back, at most 1 in 100",
--- a/src/snipemount/standins/object_store.py
+++ b/src/snipemount/standins/object_store.py
@@ -21,7 +21,6 @@
     from collections.abc import Callable
 
 LOG_LENGTH = 500
-MOST_SPEC_BYTES = 1_000_000
 LogEntry = Changed | Deleted
 
 
