Serving on the operators' platform: the whole path, thin

Cause: the product spoke its own dialects only. New: platform/ (settings file, wire names, store client, leaf connections, caller interface), pure decisions (routes, leaf directory, choice, second sends, timing, record merge) and serving/ (runs of queries over all shards and of requests to one leaf). The client of the object API moved to platform/ and speaks the store's published protocol, as does the stand-in. Ruled out on the way: an answer read twice (the parser's stream resumes its own protocol by re-entry, so the connection is a protocol of its own), and a transport that is no asyncio.Transport under uvloop.

--- a/src/snipemount/daemon.py
+++ b/src/snipemount/daemon.py
@@ -14,7 +14,6 @@
 from .adapters.coded_runner import CodedRunner
 from .adapters.credentials import Credentials
 from .adapters.peer_websocket import WebsocketPeers
-from .adapters.platform_http import HttpPlatform
 from .decisions.membership import Member
 from .errors import SettingsError
 from .logs import make_logger
@@ -22,6 +21,7 @@
 from .node.admin_commands import AdminCommands
 from .node.admin_queries import AdminQueries
 from .node.node import Node, Ports
+from .platform.store_client import StoreClient
 from .timers import LoopTimers
 from .tls import TlsKeys
 
@@ -54,7 +54,7 @@
             member, self._timers, self.logger, self._received, self._lost
         )
         self._backend = HttpBackend()
-        self._platform = HttpPlatform(settings.platform)
+        self._platform = StoreClient(settings.platform)
         ports = Ports(self._backend, self._peers, self._platform, self._timers)
         seeds = tuple(
             Member(f"seed:{s.host}:{s.mesh_port}", "", s.host, s.mesh_port)
--- /dev/null
+++ b/src/snipemount/decisions/leaf_choice.py
@@ -0,0 +1,68 @@
+"""Choice of the leaf that is asked first, and of the one asked next."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+    from random import Random
+
+    from .leaf_state import LeafState
+
+OTHER_ZONE_COST = 0.25
+COLD_FACTOR = 1.6
+STUCK_RATIO = 2.5
+FAILURE_COST = 8.0
+LOSS_COST = 4.0
+PAUSED_COST = 100.0
+TIE_SPREAD = 0.05
+
+
+class LeafChoice:
+    """Picks the leaf that is likely to answer first.
+
+    Parameters
+    ----------
+    zone : str
+        The daemon's own availability zone.
+    random : Random
+        Breaks ties.
+    """
+
+    def __init__(self, zone: str, random: Random) -> None:
+        self._zone = zone
+        self._random = random
+
+    def pick(
+        self,
+        states: Iterable[LeafState],
+        tried: Collection[str],
+        expected_ms: float,
+        now_ms: float,
+    ) -> LeafState | None:
+        """Return the best leaf not yet tried, or None when there is none."""
+        left = [state for state in states if state.leaf.leaf_id not in tried]
+        if not left:
+            return None
+        return min(left, key=lambda state: self.cost(state, expected_ms, now_ms))
+
+    def cost(self, state: LeafState, expected_ms: float, now_ms: float) -> float:
+        """Return the expected wait, in multiples of a usual answer."""
+        ahead = state.load(now_ms) / state.leaf.slots
+        cost = state.slowness(now_ms) * (1.0 + ahead)
+        if now_ms < state.cold_until_ms:
+            cost *= COLD_FACTOR
+        stuck = state.oldest_ms(now_ms) / expected_ms
+        if stuck > STUCK_RATIO:
+            cost += stuck
+        cost += FAILURE_COST * state.failure_rate(now_ms)
+        cost += LOSS_COST * min(state.lost_in_a_row, 3)
+        if state.is_paused(now_ms):
+            cost += PAUSED_COST
+        if state.leaf.zone != self._zone:
+            cost += OTHER_ZONE_COST
+        return cost + self._random.random() * TIE_SPREAD
+
+
+__all__ = ["LeafChoice"]
--- /dev/null
+++ b/src/snipemount/entry_daemon.py
@@ -0,0 +1,154 @@
+"""The daemon on the operators' platform: the serving path with real adapters."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from .bounded_writer import BoundedWriter
+from .decisions.extra_sends import ExtraSendBound
+from .decisions.leaf_choice import LeafChoice
+from .decisions.leaf_directory import LeafDirectory
+from .logs import make_logger
+from .platform.caller_server import CallerServer
+from .platform.documents import StoredDocuments
+from .platform.leaf_client import LeafClient
+from .platform.node_file import node_file_path, read_node_file
+from .platform.store_client import StoreClient
+from .serving.gateway import Gateway
+from .serving.request_log import RequestLog
+from .serving.store_feed import StoreFeed
+from .serving.surroundings import Surroundings
+from .settings import PlatformSettings
+from .timers import LoopTimers
+
+if TYPE_CHECKING:
+    from .model.leaf import Leaf
+    from .platform.node_file import NodeSettings
+
+LOG_FLUSH_MS = 200.0
+CONNECTION_SHARE = 0.95
+UNKNOWN_CONNECTIONS = 2
+REBALANCE_MS = 2500.0  # two missed readiness checks and the way there
+STOP_POLL_MS = 20.0
+STOP_SLACK_MS = 600.0
+
+
+class EntryDaemon:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        What the platform says of this process.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._timers = LoopTimers(self._loop)
+        self._random = Random()
+        self._log_writer = BoundedWriter(sys.stdout.fileno())
+        self.logger = make_logger("info", settings.name, self._log_writer)
+        bounds = settings.bounds
+        self._leafs = LeafClient(self._timers, self._connection_limit)
+        self._around = Surroundings(
+            self._timers,
+            self._leafs,
+            LeafDirectory(),
+            LeafChoice(settings.zone, self._random),
+            ExtraSendBound(
+                bounds.extra_load_ratio,
+                bounds.extra_load_slack,
+                bounds.extra_load_window_ms,
+            ),
+        )
+        self.gateway = Gateway(self._around, RequestLog(self.logger))
+        store = settings.store
+        self._store = StoreClient(PlatformSettings(f"http://{store.host}:{store.port}"))
+        self._feed = StoreFeed(
+            self._store,
+            self.gateway,
+            self._around,
+            StoredDocuments(),
+            settings.name,
+            self._random,
+            self.logger,
+        )
+        self._callers = CallerServer(self.gateway)
+        self._stopping = asyncio.Event()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers."""
+        known = self.gateway.configuration is not None
+        return known and len(self._around.directory) > 0 and not self._callers.closing
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        own = self._settings
+        readiness = web.Server(self._readiness, access_log=None)
+        await self._loop.create_server(
+            readiness, own.readiness.host, own.readiness.port
+        )
+        listener = await self._loop.create_server(
+            self._callers, own.callers.host, own.callers.port, backlog=1024
+        )
+        self._feed.start()
+        self._timers.call_every(LOG_FLUSH_MS, self._flush_log)
+        self.logger.info("started", zone=own.zone, callers=own.callers.port)
+        await self._stopping.wait()
+        await self._stop(listener)
+
+    async def _readiness(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.ready else 503)
+
+    def _flush_log(self) -> None:
+        self._log_writer.flush()
+        dropped = self._log_writer.take_dropped()
+        if dropped:
+            self.logger.warning("log_lines_dropped", count=dropped)
+
+    def _reload(self) -> None:
+        self.logger.info("reload_requested")
+
+    def _connection_limit(self, leaf: Leaf) -> int:
+        traits = self.gateway.traits(leaf.service)
+        if traits is None:
+            return UNKNOWN_CONNECTIONS
+        share = CONNECTION_SHARE * traits.max_connections / self._around.daemons
+        return max(1, int(share))
+
+    async def _stop(self, listener: asyncio.AbstractServer) -> None:
+        """Stop in good order: callers move away, then the last answers go out."""
+        started_ms = self._timers.now_ms()
+        end_ms = started_ms + self._settings.bounds.grace_ms - STOP_SLACK_MS
+        self._callers.closing = True
+        self.logger.info("stopping", in_flight=self._callers.in_flight)
+        await self._timers.sleep(REBALANCE_MS)
+        listener.close()
+        self._callers.close_idle()
+        while self._callers.in_flight and self._timers.now_ms() < end_ms:
+            await self._timers.sleep(STOP_POLL_MS)
+        self.logger.info("stopped", in_flight=self._callers.in_flight)
+        self._leafs.close()
+        await self._store.close()
+        self._log_writer.flush()
+
+
+async def serve() -> None:
+    """Run the daemon that the settings file describes."""
+    settings = read_node_file(Path(node_file_path()))
+    await EntryDaemon(settings).run()
+
+
+__all__ = ["EntryDaemon", "serve"]
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -313,10 +313,26 @@
         """Read one object."""
         self._call(lambda: self._store.read(kind, name), done)
 
-    def list_all(self, kind: Kind, done: Callable[[ListResult], None]) -> None:
+    def list_all(
+        self,
+        kind: Kind,
+        done: Callable[[ListResult], None],
+        may_be_stale: bool = False,
+    ) -> None:
         """Read all objects of a kind."""
         self._call(lambda: self._store.list_all(kind), done)
 
+    def write_status(
+        self,
+        kind: Kind,
+        name: str,
+        status: dict[str, Any],
+        version: int,
+        done: Callable[[WriteResult], None],
+    ) -> None:
+        """Replace the status of an object."""
+        self._call(lambda: self._store.write_status(kind, name, status, version), done)
+
     def write(
         self,
         kind: Kind,
--- a/src/snipemount/logs.py
+++ b/src/snipemount/logs.py
@@ -4,23 +4,25 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, TextIO, cast
 
 import structlog
 
 if TYPE_CHECKING:
     from structlog.typing import FilteringBoundLogger
 
+    from .bounded_writer import BoundedWriter
+
 
 def make_logger(
-    level: str, daemon: str, stream: TextIO = sys.stderr
+    level: str, daemon: str, stream: TextIO | BoundedWriter = sys.stderr
 ) -> FilteringBoundLogger:
     """Return a logger that stamps each event with time and daemon."""
     wrapper = structlog.make_filtering_bound_logger(
         logging.getLevelNamesMapping()[level.upper()]
     )
     logger = structlog.wrap_logger(
-        structlog.PrintLogger(stream),
+        structlog.WriteLogger(cast("TextIO", stream)),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
--- /dev/null
+++ b/src/snipemount/platform/documents.py
@@ -0,0 +1,193 @@
+"""Documents of the platform's store, decoded into the product's types."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..errors import DecodeError
+from ..model.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    ServiceTraits,
+    ToAllShards,
+    ToService,
+    ToWeightedServices,
+    WeightedService,
+)
+from ..model.leaf import Leaf, VersionOrder
+
+if TYPE_CHECKING:
+    from ..model.configuration import Target
+    from ..ports.platform import StoredObject
+
+MS_PER_S = 1000.0
+MAX_PORT = 65535
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def decode_configuration(stored: StoredObject) -> Configuration:
+    """Return the configuration in a stored object.
+
+    Raises
+    ------
+    DecodeError
+        When a field is missing or has another type.
+    """
+    spec = stored.spec
+    try:
+        return Configuration(
+            version=int(spec["version"]),
+            routes=tuple(_route(item) for item in spec["routes"]),
+            services={s["name"]: _service(s) for s in spec.get("backends") or ()},
+            limits=_limits(spec.get("limits") or {}),
+        )
+    except MALFORMED as error:
+        raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
+
+
+def _route(item: dict[str, Any]) -> Route:
+    timeout_ms = float(item["timeout_ms"])
+    return Route(
+        name=item["name"],
+        host=item["host"],
+        prefix=item["path_prefix"],
+        target=_target(item),
+        idempotent=item["type"] == "idempotent",
+        timeout_ms=timeout_ms,
+        target_latency_ms=float(item.get("target_latency_ms") or timeout_ms),
+        max_attempts=max(1, int(item.get("max_attempts") or 1)),
+        priority=int(item.get("priority") or 0),
+    )
+
+
+def _target(item: dict[str, Any]) -> Target:
+    if item.get("gather"):
+        shards = tuple(item["gather"])
+        return ToAllShards(
+            shards, int(item["top_k"]), float(item.get("min_coverage") or 0.0)
+        )
+    if item.get("weighted_backends"):
+        parts = item["weighted_backends"]
+        return ToWeightedServices(
+            tuple(WeightedService(p["backend"], float(p["weight"])) for p in parts)
+        )
+    return ToService(item["backend"])
+
+
+def _service(item: dict[str, Any]) -> ServiceTraits:
+    return ServiceTraits(
+        name=item["name"],
+        health_path=item.get("health_path") or "/",
+        max_connections=max(1, int(item.get("max_conns") or 1)),
+        cold_start_ms=float(item.get("cold_start_s") or 0.0) * MS_PER_S,
+        cold_requests_per_s=float(item.get("warmup_per_s") or 0.0),
+    )
+
+
+def _limits(item: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        int(item.get("max_header_bytes") or usual.max_header_bytes),
+        int(item.get("max_body_bytes") or usual.max_body_bytes),
+        float(item.get("header_timeout_ms") or usual.header_timeout_ms),
+        float(item.get("idle_timeout_ms") or usual.idle_timeout_ms),
+    )
+
+
+def decode_leaf(stored: StoredObject) -> Leaf:
+    """Return the leaf in an entry of the directory.
+
+    Raises
+    ------
+    DecodeError
+        When the entry comes from another writer and names no leaf to use.
+    """
+    spec = stored.spec
+    try:
+        host, _, port_text = _text(spec, "address").rpartition(":")
+        port = int(port_text)
+        state = _text(spec, "state")
+        if not host or not 0 < port <= MAX_PORT or state not in ("ready", "draining"):
+            raise ValueError("address or state")
+        return Leaf(
+            leaf_id=stored.name,
+            service=_text(spec, "backend"),
+            host=host,
+            port=port,
+            zone=_text(spec, "zone"),
+            version=_text(spec, "version"),
+            slots=max(1, _whole(spec, "max_concurrency")),
+            draining=state == "draining",
+            cold_ms=float(_number(spec, "cold_remaining_ms")),
+            started_wall_ms=float(_start_of(stored)),
+        )
+    except MALFORMED as error:
+        raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
+
+
+def _start_of(stored: StoredObject) -> int:
+    # "born" stands beside what the leaf says of itself: always a whole number.
+    born = stored.spec.get("born", 0)
+    if isinstance(born, bool) or not isinstance(born, int):
+        raise TypeError("born")
+    return born
+
+
+def _text(spec: dict[str, Any], key: str) -> str:
+    value = spec[key]
+    if not isinstance(value, str) or not value:
+        raise TypeError(key)
+    return value
+
+
+def _number(spec: dict[str, Any], key: str) -> float:
+    value = spec.get(key, 0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(key)
+    return value
+
+
+def _whole(spec: dict[str, Any], key: str) -> int:
+    value = spec[key]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(key)
+    return value
+
+
+def decode_version_order(stored: StoredObject) -> VersionOrder:
+    """Return the operators' order to move a service to a version.
+
+    Raises
+    ------
+    DecodeError
+        When a field is missing or has another type.
+    """
+    spec = stored.spec
+    status = stored.status or {}
+    try:
+        return VersionOrder(
+            service=_text(spec, "backend"),
+            to_version=_text(spec, "target_version"),
+            duration_ms=float(spec["duration_s"]) * MS_PER_S,
+            revision=stored.created,
+            status=str(status.get("state") or ""),
+        )
+    except MALFORMED as error:
+        raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
+
+
+class StoredDocuments:
+    """Decoders of the objects that the serving path follows."""
+
+    configuration = staticmethod(decode_configuration)
+    leaf = staticmethod(decode_leaf)
+    version_order = staticmethod(decode_version_order)
+
+
+__all__ = [
+    "StoredDocuments",
+    "decode_configuration",
+    "decode_leaf",
+    "decode_version_order",
+]
--- /dev/null
+++ b/src/snipemount/platform/node_file.py
@@ -0,0 +1,175 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..errors import SettingsError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+PATH_VARIABLE = "SNIPEMOUNT_NODE_FILE"
+DEFAULT_PATH = "/etc/snipemount/local.conf"
+MS_PER_S = 1000.0
+
+
+@attrs.frozen
+class Endpoint:
+    """IP number and TCP port."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen
+class GuaranteeBounds:
+    """Bounds that the operators state for the guarantees.
+
+    Parameters
+    ----------
+    drain_ms : float
+        A leaving leaf gets no request later than this.
+    grace_ms : float
+        Time between the request to stop and the kill.
+    extra_load_ratio : float
+        Second sends allowed for each request of a service.
+    extra_load_window_ms : float
+        Sliding window in which they are counted.
+    extra_load_slack : float
+        Second sends allowed on top, in each window.
+    trial_share : float
+        Greatest share of a bad version.
+    cold_ratio : float
+        Factor on the stated load of a cold leaf.
+    cold_slack : float
+        Requests a second allowed on top.
+    """
+
+    drain_ms: float
+    grace_ms: float
+    extra_load_ratio: float
+    extra_load_window_ms: float
+    extra_load_slack: float
+    trial_share: float
+    cold_ratio: float
+    cold_slack: float
+
+
+@attrs.frozen
+class NodeSettings:
+    """What a process learns about itself and its surroundings.
+
+    Parameters
+    ----------
+    name : str
+        Name of its VM.
+    zone : str
+        Availability zone.
+    callers : Endpoint
+        Where callers connect.
+    readiness : Endpoint
+        Where the balancer asks whether it may send callers.
+    store : Endpoint
+        The platform's store.
+    bounds : GuaranteeBounds
+        Bounds of the guarantees.
+    """
+
+    name: str
+    zone: str
+    callers: Endpoint
+    readiness: Endpoint
+    store: Endpoint
+    bounds: GuaranteeBounds
+
+
+def node_file_path() -> str:
+    """Return where the settings file is."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def read_node_file(path: Path) -> NodeSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+        When it cannot be read, or a field is missing or malformed.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return parse_node_file(text)
+
+
+def parse_node_file(text: str) -> NodeSettings:
+    """Return the settings in `text`; unknown fields are left alone."""
+    fields = _Fields(dict(_pairs(text)))
+    return NodeSettings(
+        name=fields.text("node_name"),
+        zone=fields.text("zone"),
+        callers=fields.endpoint("listen_addrs.front"),
+        readiness=fields.endpoint("listen_addrs.readiness"),
+        store=fields.endpoint("platform.address"),
+        bounds=GuaranteeBounds(
+            drain_ms=fields.number("bounds.drain_ms", 3000.0),
+            grace_ms=fields.number("bounds.grace_s", 6.0) * MS_PER_S,
+            extra_load_ratio=fields.number("bounds.retry_budget_ratio", 0.2),
+            extra_load_window_ms=fields.number("bounds.retry_window_s", 10.0)
+            * MS_PER_S,
+            extra_load_slack=fields.number("bounds.retry_budget_slack", 0.0),
+            trial_share=fields.number("bounds.canary_share", 0.1),
+            cold_ratio=fields.number("bounds.cold_over", 1.0),
+            cold_slack=fields.number("bounds.cold_slack", 0.0),
+        ),
+    )
+
+
+def _pairs(text: str) -> list[tuple[str, str]]:
+    lines = (line.strip() for line in text.splitlines())
+    kept = (line for line in lines if line and not line.startswith("#"))
+    split = (line.partition("=") for line in kept)
+    return [(key.strip(), value.strip()) for key, _, value in split]
+
+
+class _Fields:
+    """Checked access to the file's fields."""
+
+    def __init__(self, fields: dict[str, str]) -> None:
+        self._fields = fields
+
+    def text(self, key: str) -> str:
+        value = self._fields.get(key, "")
+        if not value:
+            raise SettingsError(f"{key}: missing")
+        return value
+
+    def number(self, key: str, default: float) -> float:
+        value = self._fields.get(key, "")
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            raise SettingsError(f"{key}: not a number") from None
+
+    def endpoint(self, key: str) -> Endpoint:
+        host, _, port = self.text(key).rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsError(f"{key}: not an address with a port")
+        return Endpoint(host, int(port))
+
+
+__all__ = [
+    "Endpoint",
+    "GuaranteeBounds",
+    "NodeSettings",
+    "node_file_path",
+    "parse_node_file",
+    "read_node_file",
+]
--- /dev/null
+++ b/src/snipemount/platform/store_client.py
@@ -0,0 +1,295 @@
+"""Client of the platform's store, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import aiohttp
+
+from ..ports.platform import (
+    Changed,
+    Conflicted,
+    Deleted,
+    Expired,
+    Failed,
+    Found,
+    Kind,
+    Listed,
+    Missing,
+    PlatformPort,
+    StoredObject,
+    Unchanged,
+    Written,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from ..ports.platform import ListResult, ReadResult, WatchEvent, WriteResult
+    from ..settings import PlatformSettings
+
+OBJECTS_PATH = "/objects"
+KIND_PATHS = {
+    Kind.CONFIGURATION: "config",
+    Kind.LEAF: "servers",
+    Kind.VERSION_ORDER: "rollouts",
+    Kind.ZONE_ORDER: "evacuations",
+}
+WATCH_WAIT_MS = 2500  # a connection that went silent is noticed soon after it
+WATCH_SLACK_MS = 700.0
+MS_PER_S = 1000.0
+CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
+DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+T = TypeVar("T")
+
+
+def kind_path(kind: Kind) -> str:
+    """Return a kind's name in the paths of the store."""
+    return KIND_PATHS.get(kind, kind.value)
+
+
+def object_document(stored: StoredObject) -> dict[str, Any]:
+    """Return an object as the store spells it."""
+    meta = {
+        "name": stored.name,
+        "revision": stored.version,
+        "create_revision": stored.created,
+        "finalizers": [],
+        "deleting": False,
+    }
+    return {"meta": meta, "spec": stored.spec, "status": stored.status}
+
+
+def parse_object(kind: Kind, document: dict[str, Any]) -> StoredObject:
+    """Return the object in a document of the store.
+
+    The spec may come from any writer: one that is no table reads as empty.
+    """
+    meta = document["meta"]
+    spec = document.get("spec")
+    status = document.get("status")
+    return StoredObject(
+        kind,
+        str(meta["name"]),
+        int(meta["revision"]),
+        spec if isinstance(spec, dict) else {},
+        status if isinstance(status, dict) else None,
+        int(meta.get("create_revision") or 0),
+    )
+
+
+def parse_event(kind: Kind, event: dict[str, Any]) -> Changed | Deleted:
+    """Return the change in one event of a watch."""
+    stored = parse_object(kind, event["object"])
+    if event.get("removed"):
+        return Deleted(kind, stored.name, stored.version)
+    return Changed(stored)
+
+
+class StoreClient(PlatformPort):
+    """Port to the platform's store.
+
+    Each call has a connection of its own: one that went silent, or lost an answer,
+    never delays the next call.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Base URL and time limit of a call.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._base = settings.url.rstrip("/") + OBJECTS_PATH
+        seconds = settings.call_timeout_ms / MS_PER_S
+        self._timeout = aiohttp.ClientTimeout(total=seconds)
+        watch_seconds = (WATCH_WAIT_MS + WATCH_SLACK_MS) / MS_PER_S
+        self._watch_timeout = aiohttp.ClientTimeout(
+            total=watch_seconds, sock_connect=seconds
+        )
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def read(self, kind: Kind, name: str, done: Callable[[ReadResult], None]) -> None:
+        """Read one object."""
+        self._spawn(self._finish(self._read(kind, name), done))
+
+    def list_all(
+        self,
+        kind: Kind,
+        done: Callable[[ListResult], None],
+        may_be_stale: bool = False,
+    ) -> None:
+        """Read all objects of a kind, page by page."""
+        self._spawn(self._finish(self._list(kind, may_be_stale), done))
+
+    def write(
+        self,
+        kind: Kind,
+        name: str,
+        spec: dict[str, Any],
+        version: int | None,
+        done: Callable[[WriteResult], None],
+    ) -> None:
+        """Create or replace an object."""
+        self._spawn(self._finish(self._write(kind, name, spec, version), done))
+
+    def write_status(
+        self,
+        kind: Kind,
+        name: str,
+        status: dict[str, Any],
+        version: int,
+        done: Callable[[WriteResult], None],
+    ) -> None:
+        """Replace the status of an object."""
+        url = f"{self._url(kind, name)}/status"
+        body = {"meta": {"name": name, "revision": version}, "status": status}
+        self._spawn(self._finish(self._put(kind, "PUT", url, body), done))
+
+    def watch(
+        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+    ) -> None:
+        """Report each later change."""
+        self._spawn(self._watch(kind, version, on_event))
+
+    async def close(self) -> None:
+        """End all calls and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(force_close=True)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+    def _url(self, kind: Kind, name: str) -> str:
+        return f"{self._base}/{kind_path(kind)}/{name}"
+
+    @staticmethod
+    async def _finish(
+        work: Coroutine[None, None, T], done: Callable[[T | Failed], None]
+    ) -> None:
+        try:
+            result: T | Failed = await work
+        except CALL_ERRORS as error:
+            result = Failed(type(error).__name__)
+        except DECODE_ERRORS as error:
+            result = Failed(f"malformed reply: {error}")
+        done(result)
+
+    async def _read(self, kind: Kind, name: str) -> ReadResult:
+        async with self._client().get(
+            self._url(kind, name), timeout=self._timeout
+        ) as response:
+            if response.status == 404:
+                return Missing()
+            if response.status != 200:
+                return Failed(f"status {response.status}")
+            return Found(parse_object(kind, await response.json()))
+
+    async def _list(self, kind: Kind, may_be_stale: bool) -> ListResult:
+        url = f"{self._base}/{kind_path(kind)}"
+        objects: list[StoredObject] = []
+        query = {"allow_stale": "1"} if may_be_stale else {}
+        version: int | None = None
+        while True:
+            async with self._client().get(
+                url, params=query, timeout=self._timeout
+            ) as response:
+                if response.status != 200:
+                    return Failed(f"status {response.status}")
+                document = await response.json()
+            objects += (parse_object(kind, item) for item in document["items"])
+            # Changes between two pages are seen again by a watch from the first.
+            version = version or int(document["store_revision"])
+            if not document.get("has_more") or not objects:
+                return Listed(tuple(objects), version)
+            query["after"] = objects[-1].name
+
+    async def _write(
+        self, kind: Kind, name: str, spec: dict[str, Any], version: int | None
+    ) -> WriteResult:
+        meta: dict[str, Any] = {"name": name, "finalizers": []}
+        body: dict[str, Any] = {"meta": meta, "spec": spec}
+        if version is None:
+            url = f"{self._base}/{kind_path(kind)}"
+            return await self._put(kind, "POST", url, body)
+        meta["revision"] = version
+        return await self._put(kind, "PUT", self._url(kind, name), body)
+
+    async def _put(
+        self, kind: Kind, method: str, url: str, body: dict[str, Any]
+    ) -> WriteResult:
+        async with self._client().request(
+            method, url, json=body, timeout=self._timeout
+        ) as response:
+            if response.status in (404, 409):
+                return Conflicted()
+            if response.status not in (200, 201):
+                return Failed(f"status {response.status}")
+            return Written(parse_object(kind, await response.json()))
+
+    async def _watch(
+        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+    ) -> None:
+        url = f"{self._base}/{kind_path(kind)}"
+        end: WatchEvent | None = None
+        while end is None:
+            query = {"watch": str(version), "wait_ms": str(WATCH_WAIT_MS)}
+            try:
+                found = await self._poll(kind, url, query)
+            except CALL_ERRORS as error:
+                end = Failed(type(error).__name__)
+            except DECODE_ERRORS as error:
+                end = Failed(f"malformed event: {error}")
+            else:
+                end, version = self._report(found, version, on_event)
+        on_event(end)
+
+    async def _poll(
+        self, kind: Kind, url: str, query: dict[str, str]
+    ) -> tuple[list[Changed | Deleted], int] | Expired | Failed:
+        async with self._client().get(
+            url, params=query, timeout=self._watch_timeout
+        ) as response:
+            if response.status == 410:
+                return Expired()
+            if response.status != 200:
+                return Failed(f"status {response.status}")
+            document = await response.json()
+        events = [parse_event(kind, event) for event in document["events"]]
+        return events, int(document["store_revision"])
+
+    @staticmethod
+    def _report(
+        found: tuple[list[Changed | Deleted], int] | Expired | Failed,
+        version: int,
+        on_event: Callable[[WatchEvent], None],
+    ) -> tuple[Expired | Failed | None, int]:
+        if isinstance(found, Expired | Failed):
+            return found, version
+        events, newest = found
+        for event in events:
+            on_event(event)
+        on_event(Unchanged(newest))
+        return None, newest
+
+
+__all__ = [
+    "OBJECTS_PATH",
+    "StoreClient",
+    "kind_path",
+    "object_document",
+    "parse_event",
+    "parse_object",
+]
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -13,7 +13,11 @@
 
 
 class Kind(Enum):
-    """Kinds of object that the system reads or writes; values are plurals."""
+    """Kinds of object that the system reads or writes; values are plurals.
+
+    The last four are written by operators and leafs; the platform has names of
+    its own for them.
+    """
 
     PROFILE = "profiles"
     SERVICE = "services"
@@ -22,6 +26,11 @@
     ZONE = "zones"
     MOVE = "moves"
     EVENT = "events"
+    DAEMON = "daemons"
+    CONFIGURATION = "configuration"
+    LEAF = "leafs"
+    VERSION_ORDER = "versionorders"
+    ZONE_ORDER = "zoneorders"
 
 
 @attrs.frozen
@@ -38,12 +47,18 @@
         Grows with each write to the platform.
     spec : dict
         JSON document; typed by the codec of its kind.
+    status : dict or None
+        What the system reports about the object.
+    created : int
+        Version of its creation.
     """
 
     kind: Kind
     name: str
     version: int
     spec: dict[str, Any]
+    status: dict[str, Any] | None = None
+    created: int = 0
 
 
 @attrs.frozen
@@ -101,6 +116,13 @@
     version: int
 
 
+@attrs.frozen
+class Unchanged:
+    """The store confirms that nothing has changed up to `version`."""
+
+    version: int
+
+
 @attrs.frozen
 class Expired:
     """The watch cannot resume from so old a version."""
@@ -109,7 +131,7 @@
 ReadResult = Found | Missing | Failed
 ListResult = Listed | Failed
 WriteResult = Written | Conflicted | Failed
-WatchEvent = Changed | Deleted | Expired | Failed
+WatchEvent = Changed | Deleted | Unchanged | Expired | Failed
 
 
 class PlatformPort(ABC):
@@ -120,8 +142,13 @@
         """Read one object."""
 
     @abstractmethod
-    def list_all(self, kind: Kind, done: Callable[[ListResult], None]) -> None:
-        """Read all objects of a kind."""
+    def list_all(
+        self,
+        kind: Kind,
+        done: Callable[[ListResult], None],
+        may_be_stale: bool = False,
+    ) -> None:
+        """Read all objects of a kind; a stale list may be seconds old."""
 
     @abstractmethod
     def write(
@@ -134,6 +161,17 @@
     ) -> None:
         """Create (`version` None) or replace an object at this version."""
 
+    @abstractmethod
+    def write_status(
+        self,
+        kind: Kind,
+        name: str,
+        status: dict[str, Any],
+        version: int,
+        done: Callable[[WriteResult], None],
+    ) -> None:
+        """Replace the status of an object at this version."""
+
     @abstractmethod
     def watch(
         self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
@@ -155,6 +193,7 @@
     "PlatformPort",
     "ReadResult",
     "StoredObject",
+    "Unchanged",
     "WatchEvent",
     "WriteResult",
     "Written",
--- /dev/null
+++ b/src/snipemount/serving/gather_run.py
@@ -0,0 +1,165 @@
+"""A query over all shards: complete, or honestly partial and in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..decisions.record_merge import greatest_records
+from ..model.forwarding import (
+    Failed,
+    FailureReason,
+    LeafAnswer,
+    Merged,
+    RefusalReason,
+    Refused,
+)
+from .request_log import Unanswered
+from .run import Run
+from .service_call import ServiceCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..model.configuration import Route, ToAllShards
+    from ..model.forwarding import ForwardRequest, Outcome
+    from .surroundings import Surroundings
+
+SECOND_SEND_PERIOD_MS = 8.0
+RETRY_AFTER_MS = 50.0
+
+
+class GatherRun(Run):
+    """Asks every shard, gives late ones a second leaf, answers in time.
+
+    Parameters
+    ----------
+    surroundings : Surroundings
+        Shared state.
+    route : Route
+        Route of the request.
+    target : ToAllShards
+        Its shards.
+    request : ForwardRequest
+        The request.
+    deadline_at_ms : float
+        Time by which the caller must have an answer.
+    done : Callable
+        Gets the outcome, once.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        route: Route,
+        target: ToAllShards,
+        request: ForwardRequest,
+        deadline_at_ms: float,
+        done: Callable[[Outcome], None],
+    ) -> None:
+        self._around = surroundings
+        self._route = route
+        self._target = target
+        self._done: Callable[[Outcome], None] | None = done
+        self._started_ms = surroundings.timers.now_ms()
+        self._deadline_at_ms = deadline_at_ms
+        self._open = len(target.shards)
+        self._calls = [
+            ServiceCall(
+                surroundings, shard, route, request, deadline_at_ms, self._settled
+            )
+            for shard in target.shards
+        ]
+        self._answer_due = False
+
+    def start(self) -> None:
+        """Ask every shard, or refuse at once when too few can be asked."""
+        if not self._enough_shards():
+            self._finish(Refused(RefusalReason.NO_LEAF, RETRY_AFTER_MS))
+            return
+        timing = self._around.timing(self._route)
+        timers = self._around.timers
+        timers.call_later(timing.second_send_ms(self._route), self._second_sends)
+        timers.call_later(timing.answer_ms(self._route), self._answer_now)
+        left_ms = self._deadline_at_ms - self._started_ms
+        timers.call_later(left_ms, self._time_is_up)
+        for call in self._calls:
+            call.start()
+
+    def cancel(self) -> None:
+        """Stop all work: the caller has left."""
+        self._done = None
+        self._cancel_calls()
+
+    def unanswered(self) -> list[Unanswered]:
+        """Return the shards that gave no part."""
+        return [
+            Unanswered(call.service, call.explain())
+            for call in self._calls
+            if call.answer is None or not call.answer.succeeded
+        ]
+
+    def _enough_shards(self) -> bool:
+        directory = self._around.directory
+        shards = self._target.shards
+        served = sum(bool(directory.service_states(shard)) for shard in shards)
+        return self._enough(served)
+
+    def _enough(self, answered: int) -> bool:
+        return answered > 0 and self._share(answered) >= self._target.least_share
+
+    def _share(self, answered: int) -> float:
+        return answered / len(self._target.shards)
+
+    def _second_sends(self) -> None:
+        if self._done is None:
+            return
+        for call in self._calls:
+            call.second_send()
+        self._around.timers.call_later(SECOND_SEND_PERIOD_MS, self._second_sends)
+
+    def _settled(self, call: ServiceCall) -> None:
+        self._open -= 1
+        if self._done is None:
+            return
+        if self._open == 0:
+            self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
+        elif self._answer_due:
+            self._answer_now()
+
+    def _answer_now(self) -> None:
+        self._answer_due = True
+        if self._done is not None and self._enough(len(self._parts())):
+            self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
+
+    def _time_is_up(self) -> None:
+        if self._done is not None:
+            self._finish(self._outcome(FailureReason.TIMEOUT))
+
+    def _parts(self) -> list[LeafAnswer]:
+        answers = (call.answer for call in self._calls)
+        return [answer for answer in answers if answer and answer.succeeded]
+
+    def _outcome(self, otherwise: FailureReason) -> Outcome:
+        parts = self._parts()
+        if self._enough(len(parts)):
+            receipts = tuple(part.receipt for part in parts)
+            body = greatest_records((part.body for part in parts), self._target.top_k)
+            return Merged(receipts, len(self._calls) - len(parts), body)
+        if any(call.may_have_run for call in self._calls):
+            return Failed(otherwise)
+        return Refused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
+
+    def _finish(self, outcome: Outcome) -> None:
+        done = self._done
+        self._done = None
+        if done is not None:
+            done(outcome)
+        self._cancel_calls()
+
+    def _cancel_calls(self) -> None:
+        for call in self._calls:
+            if not call.settled:
+                call.cancel()
+
+
+__all__ = ["GatherRun"]
--- a/src/snipemount/standins/object_store.py
+++ b/src/snipemount/standins/object_store.py
@@ -5,6 +5,8 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from ..ports.platform import (
     Changed,
     Conflicted,
@@ -35,6 +37,7 @@
 
     def __init__(self) -> None:
         self._version = 0
+        self._oldest = 0
         self._objects: dict[tuple[Kind, str], StoredObject] = {}
         self._log: deque[LogEntry] = deque(maxlen=LOG_LENGTH)
         self._watchers: dict[int, tuple[Kind, Callable[[LogEntry], None]]] = {}
@@ -61,12 +64,30 @@
         known = self._objects.get((kind, name))
         if (known.version if known else None) != version:
             return Conflicted()
+        if known is None:
+            created = self._version + 1
+            return self._store(StoredObject(kind, name, 0, spec, None, created))
+        stored = attrs.evolve(known, spec=spec)
+        return self._store(stored) if stored != known else Written(known)
+
+    def _store(self, stored: StoredObject) -> Written:
         self._version += 1
-        stored = StoredObject(kind, name, self._version, spec)
-        self._objects[kind, name] = stored
+        stored = attrs.evolve(stored, version=self._version)
+        self._objects[stored.kind, stored.name] = stored
         self._publish(Changed(stored))
         return Written(stored)
 
+    def write_status(
+        self, kind: Kind, name: str, status: dict[str, Any], version: int | None
+    ) -> Written | Conflicted:
+        """Replace an object's status; `version` None writes without a condition."""
+        self.calls["write"] += 1
+        known = self._objects.get((kind, name))
+        if known is None or version not in (None, known.version):
+            return Conflicted()
+        stored = attrs.evolve(known, status=status)
+        return self._store(stored) if stored != known else Written(known)
+
     def put(self, kind: Kind, name: str, spec: dict[str, Any]) -> StoredObject:
         """Write without a condition, as the platform itself does."""
         known = self._objects.get((kind, name))
@@ -84,10 +105,19 @@
         self._publish(Deleted(kind, name, self._version))
         return True
 
+    @property
+    def version(self) -> int:
+        """Version of the last change."""
+        return self._version
+
+    def compact(self) -> None:
+        """Forget the history: a watch from an earlier version has to list anew."""
+        self._log.clear()
+        self._oldest = self._version
+
     def changes_since(self, kind: Kind, version: int) -> list[LogEntry] | None:
         """Return later changes; None when the log does not reach back so far."""
-        oldest = self._entry_version(self._log[0]) if self._log else 0
-        if version + 1 < oldest and version < self._version:
+        if version < self._oldest:
             return None
         return [
             entry
@@ -107,6 +137,8 @@
         self._watchers.pop(watcher, None)
 
     def _publish(self, entry: LogEntry) -> None:
+        if len(self._log) == LOG_LENGTH:
+            self._oldest = self._entry_version(self._log[0])
         self._log.append(entry)
         for kind, on_entry in list(self._watchers.values()):
             if kind is self._entry_kind(entry):
