--- a/src/snipemount/decisions/extra_sends.py
+++ b/src/snipemount/decisions/extra_sends.py
@@ -51,15 +51,15 @@
     ----------
     bound : ExtraSendBound
         Bound over all daemons.
-    now_ms : float
-        Time of creation; the slack is granted little by little from here, as an
+    started_ms : float
+        Start of the process; the slack is granted little by little from here, as an
         earlier process of this daemon may have spent it.
     """
 
-    def __init__(self, bound: ExtraSendBound, now_ms: float) -> None:
+    def __init__(self, bound: ExtraSendBound, started_ms: float) -> None:
         self._bound = bound
         self._bucket_ms = bound.window_ms / BUCKETS
-        self._born_ms = now_ms
+        self._started_ms = started_ms
         self._buckets: deque[Bucket] = deque()
 
     def request(self, now_ms: float) -> None:
@@ -71,7 +71,7 @@
         bucket = self._bucket(now_ms)
         requests = sum(b.requests for b in self._buckets)
         extra = sum(b.extra for b in self._buckets)
-        age = min(1.0, (now_ms - self._born_ms) / self._bound.window_ms)
+        age = min(1.0, (now_ms - self._started_ms) / self._bound.window_ms)
         slack = SLACK_MARGIN * age * self._bound.slack / max(1, daemons)
         if extra + 1 > RATIO_MARGIN * self._bound.ratio * requests + slack:
             return False
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -46,6 +46,10 @@
     daemons: int = 8
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraSends] = attrs.field(factory=dict)
+    started_ms: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.started_ms = self.timers.now_ms()
 
     def timing(self, route: Route) -> RouteTiming:
         """Return the latencies of a route."""
@@ -58,8 +62,8 @@
         """Return the budget of second sends to a service."""
         found = self.budgets.get(service)
         if found is None:
-            now_ms = self.timers.now_ms()
-            found = self.budgets[service] = ExtraSends(self.bound, now_ms)
+            found = ExtraSends(self.bound, self.started_ms)
+            self.budgets[service] = found
         return found
 
 
--- /dev/null
+++ b/tests/serving/directory.feature
@@ -0,0 +1,47 @@
+Feature: The directory names the leafs that live
+
+  Scenario: An entry that lapses and returns within one batch of changes is kept
+    Given a directory with 12 leafs, fed by the store
+    When 10 entries are removed and put again in one batch of changes
+    And 5000 ms pass
+    Then the directory has 12 leafs
+
+  Scenario: Entries missing after an outage are kept for a grace time, then taken as gone
+    Given a directory with 12 leafs, fed by the store
+    When the store is away for 5000 ms
+    And the store returns and lists 4 of the leafs
+    Then the directory has 12 leafs
+    And 2500 ms later the directory has 4 leafs
+
+  Scenario: Entries missing after an outage that come back in time stay
+    Given a directory with 12 leafs, fed by the store
+    When the store is away for 5000 ms
+    And the store returns and lists 4 of the leafs
+    And 1500 ms pass
+    And all entries are put again
+    And 5000 ms pass
+    Then the directory has 12 leafs
+
+  Scenario: A removal in quiet times counts at once
+    Given a directory with 12 leafs, fed by the store
+    When 3000 ms pass with the store in contact
+    And 1 entries are removed
+    Then the directory has 11 leafs
+
+  Scenario: A draining leaf and the leafs of a closed zone get nothing
+    Given a directory with 12 leafs, fed by the store
+    When leaf 0 drains
+    And zone zone-b is closed
+    Then no candidate is leaf 0 or in zone zone-b
+
+  Scenario: An entry of an earlier start under the same id is ignored
+    Given a directory with 12 leafs, fed by the store
+    When leaf 0 starts anew at another address
+    And its old entry is read again
+    Then leaf 0 is known at the new address
+
+  Scenario: An entry that cannot be read names no leaf and hides no other
+    Given a directory with 12 leafs, fed by the store
+    When an unreadable entry is put for leaf 0
+    Then the directory has 11 leafs
+    And one log line tells of the unreadable entry
--- /dev/null
+++ b/tests/steps/directory_steps.py
@@ -0,0 +1,216 @@
+"""Steps on the directory of leafs, the store's feed and shared budgets."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+import structlog
+from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+from serving_world import ServingWorld, make_leaf
+
+from snipemount.decisions.extra_sends import ExtraSendBound, ExtraSends
+from snipemount.errors import DecodeError
+from snipemount.ports.platform import Kind, StoredObject
+from snipemount.serving.store_feed import LeafSubscriber
+
+WINDOW_MS = 10_000.0
+
+
+class PlainDocuments:
+    """Stored specs that hold the leaf itself."""
+
+    def leaf(self, stored):
+        """Return the leaf."""
+        if "leaf" not in stored.spec:
+            raise DecodeError(f"{stored.name}: no leaf")
+        return stored.spec["leaf"]
+
+
+def entry_of(leaf):
+    """Return the stored entry of a leaf."""
+    return StoredObject(Kind.LEAF, leaf.leaf_id, 1, {"leaf": leaf})
+
+
+@given("a directory with {count:d} leafs, fed by the store")
+def step_directory(context, count):
+    world = ServingWorld()
+    context.serving = world
+    context.lines = []
+
+    def capture(logger, method, event):
+        context.lines.append(event)
+        raise structlog.DropEvent
+
+    logger = structlog.wrap_logger(None, processors=[capture])
+    context.feed = LeafSubscriber(world.around, PlainDocuments(), logger)
+    zones = ("zone-a", "zone-b")
+    context.entries = [
+        make_leaf(f"leaf-{n}", f"shard{n % 3}", zones[n % 2]) for n in range(count)
+    ]
+    context.feed.listed(tuple(entry_of(leaf) for leaf in context.entries))
+    context.feed.contact()
+    keep_contact(context, 4000.0)
+
+
+def keep_contact(context, span_ms):
+    """Let time pass while the store confirms every 500 ms."""
+    for _ in range(int(span_ms / 500.0)):
+        context.serving.run_for(500.0)
+        context.feed.contact()
+        context.feed.settle_doubts()
+
+
+@when("{count:d} entries are removed and put again in one batch of changes")
+def step_batch(context, count):
+    for leaf in context.entries[:count]:
+        context.feed.removed(leaf.leaf_id)
+        context.feed.changed(entry_of(leaf))
+    context.feed.contact()
+    keep_contact(context, 5000.0)
+
+
+@when("the store is away for {span_ms:g} ms")
+def step_away(context, span_ms):
+    context.feed.contact_lost("TimeoutError")
+    context.serving.run_for(span_ms)
+
+
+@when("the store returns and lists {count:d} of the leafs")
+def step_returns(context, count):
+    context.feed.listed(tuple(entry_of(leaf) for leaf in context.entries[:count]))
+    context.feed.contact()
+    context.feed.settle_doubts()
+
+
+@when("all entries are put again")
+def step_put_again(context):
+    for leaf in context.entries:
+        context.feed.changed(entry_of(leaf))
+    context.feed.contact()
+    keep_contact(context, 4000.0)
+
+
+@when("{span_ms:g} ms pass with the store in contact")
+def step_in_contact(context, span_ms):
+    keep_contact(context, span_ms)
+
+
+@when("{count:d} entries are removed")
+def step_removed(context, count):
+    for leaf in context.entries[:count]:
+        context.feed.removed(leaf.leaf_id)
+    context.feed.contact()
+
+
+@when("leaf 0 drains")
+def step_drains(context):
+    leaf = attrs.evolve(context.entries[0], draining=True)
+    context.feed.changed(entry_of(leaf))
+    context.feed.contact()
+
+
+@when("zone {zone} is closed")
+def step_closed(context, zone):
+    context.serving.directory.close_zones(frozenset([zone]))
+
+
+@when("leaf 0 starts anew at another address")
+def step_anew(context):
+    leaf = attrs.evolve(context.entries[0], host="10.0.0.9", started_wall_ms=2.0)
+    context.feed.changed(entry_of(leaf))
+    context.feed.contact()
+
+
+@when("its old entry is read again")
+def step_old_entry(context):
+    context.feed.changed(entry_of(context.entries[0]))
+    context.feed.contact()
+
+
+@when("an unreadable entry is put for leaf 0")
+def step_unreadable(context):
+    for _ in range(3):
+        context.feed.changed(StoredObject(Kind.LEAF, "leaf-0", 2, {"leafs": 1}))
+        context.feed.contact()
+
+
+@then("the directory has {count:d} leafs")
+def step_count(context, count):
+    assert len(context.serving.directory) == count, len(context.serving.directory)
+
+
+@then("{span_ms:g} ms later the directory has {count:d} leafs")
+def step_count_later(context, span_ms, count):
+    keep_contact(context, span_ms)
+    assert len(context.serving.directory) == count, len(context.serving.directory)
+
+
+@then("no candidate is leaf 0 or in zone {zone}")
+def step_candidates(context, zone):
+    directory = context.serving.directory
+    services = {leaf.service for leaf in context.entries}
+    states = [s for service in services for s in directory.service_states(service)]
+    assert states
+    assert all(state.leaf.zone != zone for state in states)
+    assert all(state.leaf.leaf_id != "leaf-0" for state in states)
+
+
+@then("leaf 0 is known at the new address")
+def step_new_address(context):
+    assert context.serving.directory.known("leaf-0").leaf.host == "10.0.0.9"
+
+
+@then("one log line tells of the unreadable entry")
+def step_one_line(context):
+    lines = [x for x in context.lines if x["event"] == "leaf_entry_unreadable"]
+    assert len(lines) == 1, context.lines
+
+
+@given("a budget with a ratio of {ratio:g} and a slack of {slack:g} for 8 daemons")
+def step_budget(context, ratio, slack):
+    context.budget = ExtraSends(ExtraSendBound(ratio, slack, WINDOW_MS), 0.0)
+
+
+@then("right after its start it grants no second send")
+def step_no_grant(context):
+    assert not context.budget.take(8, 0.0)
+
+
+@then("{age_s:g} s after its start it grants {count:d} second sends")
+def step_grants(context, age_s, count):
+    granted = sum(context.budget.take(8, age_s * 1000.0) for _ in range(100))
+    assert granted == count, granted
+
+
+@then("for any course of 1 to 8 daemons second sends stay within ratio and slack")
+def step_sums(context):
+    @for_any(st.integers(0, 2**32 - 1), st.integers(1, 8))
+    def holds(seed, daemons):
+        check_sums(Random(seed), daemons)
+
+    holds()
+
+
+def check_sums(random: Random, daemons: int) -> None:
+    """Play requests, wishes for second sends, and restarts; check every window."""
+    bound = ExtraSendBound(0.2, 56.0, WINDOW_MS)
+    budgets = [ExtraSends(bound, 0.0) for _ in range(daemons)]
+    requests: list[float] = []
+    extra: list[float] = []
+    now_ms = 0.0
+    for _ in range(600):
+        now_ms += random.expovariate(1 / 60.0)
+        number = random.randrange(daemons)
+        if random.random() < 0.004:
+            budgets[number] = ExtraSends(bound, now_ms)
+        budgets[number].request(now_ms)
+        requests.append(now_ms)
+        for _ in range(random.randrange(3)):
+            if budgets[number].take(daemons, now_ms):
+                extra.append(now_ms)
+        count = sum(at > now_ms - WINDOW_MS for at in extra)
+        owed = sum(at > now_ms - WINDOW_MS for at in requests)
+        assert count <= bound.ratio * owed + bound.slack, (count, owed)
--- /dev/null
+++ b/tests/steps/serving_steps.py
@@ -0,0 +1,300 @@
+"""Steps on the serving path over scripted leafs."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from serving_world import (
+    ROUTES,
+    SHARDS,
+    ServingWorld,
+    make_configuration,
+    make_leaf,
+    record,
+)
+
+from snipemount.model.forwarding import Failed, Merged, Passed, Refused, UnknownRoute
+
+AT_ONCE_MS = 1.0
+
+
+def last(context):
+    """Return the request asked last."""
+    return context.serving.samples[-1]
+
+
+def arrivals_of(context, request_id):
+    """Return the leafs that a request reached."""
+    return [
+        leaf for _, leaf, rid in context.serving.leafs.arrivals if rid == request_id
+    ]
+
+
+def for_all(context, **fields):
+    """Change the script of every leaf."""
+    for state in context.serving.directory.all_states():
+        script = context.serving.leafs.scripts[state.leaf.leaf_id]
+        for name, value in fields.items():
+            setattr(script, name, value)
+
+
+@given("a serving path with two leafs a shard")
+def step_serving(context):
+    context.serving = ServingWorld()
+    context.serving.start()
+    context.serving.run_for(10_000.0)
+
+
+@given("a serving path that knows nothing yet")
+def step_serving_empty(context):
+    context.serving = ServingWorld()
+
+
+@when("a query is asked")
+def step_query(context):
+    context.serving.ask("find")
+
+
+@when("a query is asked with {deadline_ms:g} ms to go")
+def step_query_deadline(context, deadline_ms):
+    context.serving.ask("find", deadline_ms)
+
+
+@when('a "{route}" request is asked')
+def step_single(context, route):
+    context.serving.ask(route, 6000.0)
+
+
+@when('{count:d} "{route}" requests are asked, {gap_ms:g} ms apart')
+def step_singles(context, count, route, gap_ms):
+    for _ in range(count):
+        context.serving.ask(route, 6000.0)
+        context.serving.run_for(gap_ms)
+
+
+@when("{count:d} queries are asked, {gap_ms:g} ms apart")
+def step_queries(context, count, gap_ms):
+    for _ in range(count):
+        context.serving.ask("find")
+        context.serving.run_for(gap_ms)
+
+
+@when("{span_ms:g} ms pass")
+def step_ms_pass(context, span_ms):
+    context.serving.run_for(span_ms)
+
+
+@when("both zones' first choice of shard {number:d} pauses for {span_ms:g} ms")
+def step_pause(context, number, span_ms):
+    world = context.serving
+    leaf_id = f"{SHARDS[number]}-zone-a"
+    world.leafs.scripts[leaf_id].paused_until_ms = world.timers.now_ms() + span_ms
+
+
+@when("all leafs of shard {number:d} fall silent")
+def step_shard_silent(context, number):
+    for zone in ("zone-a", "zone-b"):
+        context.serving.leafs.scripts[f"{SHARDS[number]}-{zone}"].dark = True
+
+
+@when("all leafs fall silent")
+def step_all_silent(context):
+    for_all(context, dark=True)
+
+
+@when("all leafs answer with failures")
+def step_all_fail(context):
+    for_all(context, status=500)
+
+
+@when("the leafs of {zone} answer with failures")
+def step_zone_fails(context, zone):
+    for state in context.serving.directory.all_states():
+        if state.leaf.zone == zone:
+            context.serving.leafs.scripts[state.leaf.leaf_id].status = 500
+
+
+@when("all leafs refuse")
+def step_all_refuse(context):
+    for_all(context, refuses=True)
+
+
+@when("no leaf can be reached")
+def step_unreachable(context):
+    for_all(context, unreachable=True)
+
+
+@when("all leafs take {work_ms:g} ms")
+def step_slow(context, work_ms):
+    for_all(context, work_ms=work_ms)
+
+
+@when("the ledger's leafs lose their connections")
+def step_ledger_loses(context):
+    for number in range(4):
+        context.serving.leafs.scripts[f"ledger-{number}"].loses = True
+
+
+@when("{count:d} of the ledger's leafs refuse")
+def step_some_refuse(context, count):
+    for number in range(count):
+        context.serving.leafs.scripts[f"ledger-{number}"].refuses = True
+
+
+@when("the leaf that is asked next falls silent")
+def step_next_silent(context):
+    world = context.serving
+    states = world.directory.service_states("ledger")
+    now_ms = world.timers.now_ms()
+    picked = world.around.choice.pick(states, (), 100.0, now_ms)
+    for state in states:
+        script = world.leafs.scripts[state.leaf.leaf_id]
+        script.dark = state is picked
+        script.work_ms = 10.0
+        if state is not picked:
+            state.paused_until_ms = now_ms + 1.0
+
+
+@when("the leafs of shards {first:d} to {end:d} are gone")
+def step_gone(context, first, end):
+    world = context.serving
+    for number in range(first, end + 1):
+        for zone in ("zone-a", "zone-b"):
+            world.directory.remove(f"{SHARDS[number]}-{zone}", world.timers.now_ms())
+
+
+@when("a third leaf of shard {number:d} starts")
+def step_third(context, number):
+    leaf = make_leaf(f"{SHARDS[number]}-third", SHARDS[number])
+    context.serving.directory.put(leaf, context.serving.timers.now_ms())
+
+
+@when("the caller leaves")
+def step_caller_leaves(context):
+    last(context).run.cancel()
+
+
+@when('a configuration of version {version:d} without the route "{name}" is read')
+def step_config_without(context, version, name):
+    routes = [route for route in ROUTES if route.name != name]
+    context.serving.gateway.put_in_force(make_configuration(version, routes))
+
+
+@when("a configuration of version {version:d} with all routes is read")
+def step_config_all(context, version):
+    context.serving.gateway.put_in_force(make_configuration(version))
+
+
+@then("the answer has {shards:d} shards and misses {missing:d}")
+def step_answer(context, shards, missing):
+    outcome = last(context).outcome
+    assert isinstance(outcome, Merged), outcome
+    assert len(outcome.receipts) == len(set(outcome.receipts)) == shards
+    assert outcome.missing == missing
+
+
+@then("the answer has at least {shards:d} shards")
+def step_answer_least(context, shards):
+    outcome = last(context).outcome
+    assert isinstance(outcome, Merged), outcome
+    assert len(outcome.receipts) >= shards
+    assert len(outcome.receipts) + outcome.missing == len(SHARDS)
+
+
+@then("the answer holds the {count:d} greatest records, greatest first")
+def step_records(context, count):
+    wanted = b"".join(record(number) for number in range(69, 69 - count, -1))
+    assert last(context).outcome.body == wanted
+
+
+@then("it took less than {limit_ms:g} ms")
+def step_took(context, limit_ms):
+    assert last(context).elapsed_ms < limit_ms, last(context)
+
+
+@then("a log line names the request and the missing shard")
+def step_log_line(context):
+    lines = [
+        line
+        for line in context.serving.lines
+        if line["event"] == "request_ended"
+        and line["request"] == last(context).request_id
+    ]
+    assert len(lines) == 1, context.serving.lines
+    assert SHARDS[3] in lines[0]["unanswered"]
+
+
+@then("it is refused at once with a time to come back")
+def step_refused_at_once(context):
+    assert isinstance(last(context).outcome, Refused), last(context)
+    assert last(context).outcome.retry_after_ms > 0
+    assert last(context).elapsed_ms < AT_ONCE_MS
+
+
+@then("it is refused with a time to come back")
+def step_refused(context):
+    assert isinstance(last(context).outcome, Refused), last(context)
+    assert last(context).outcome.retry_after_ms > 0
+
+
+@then("it has failed, and nothing is said about not having run")
+def step_failed(context):
+    assert isinstance(last(context).outcome, Failed), last(context)
+
+
+@then("it is denied")
+def step_denied(context):
+    assert isinstance(last(context).outcome, UnknownRoute), last(context)
+
+
+@then("no leaf got the query")
+def step_none_got(context):
+    assert not arrivals_of(context, last(context).request_id)
+
+
+@then("no leaf ran the query")
+def step_none_ran(context):
+    assert not context.serving.leafs.runs[last(context).request_id]
+
+
+@then("no leaf is at work")
+def step_no_work(context):
+    working = +context.serving.leafs.working
+    assert not working, working
+
+
+@then("{span_ms:g} ms later no leaf has got more of it")
+def step_no_more(context, span_ms):
+    before = len(context.serving.leafs.arrivals)
+    context.serving.run_for(span_ms)
+    assert len(context.serving.leafs.arrivals) == before
+
+
+@then("the leaf's answer {status:d} is passed on")
+def step_passed(context, status):
+    outcome = last(context).outcome
+    assert isinstance(outcome, Passed), last(context)
+    assert outcome.answer.status == status
+
+
+@then("it was sent {count:d} times")
+def step_sent(context, count):
+    assert len(arrivals_of(context, last(context).request_id)) == count
+
+
+@then("it ran {count:d} times")
+def step_ran(context, count):
+    assert context.serving.leafs.runs[last(context).request_id] == count
+
+
+@then("shard {number:d} got the query at most {count:d} times")
+def step_shard_got(context, number, count):
+    leafs = arrivals_of(context, last(context).request_id)
+    got = [leaf for leaf in leafs if leaf.startswith(f"{SHARDS[number]}-")]
+    assert 1 <= len(got) <= count, got
+
+
+@then("the ledger got {ledger:d} of them and the archive {archive:d}")
+def step_weights(context, ledger, archive):
+    leafs = [leaf for _, leaf, _ in context.serving.leafs.arrivals]
+    got = sum(leaf.startswith("archive") for leaf in leafs)
+    assert (len(leafs) - got, got) == (ledger, archive)
--- /dev/null
+++ b/tests/steps/serving_world.py
@@ -0,0 +1,180 @@
+"""One daemon's serving path over scripted leafs, in virtual time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+import structlog
+
+from snipemount.decisions.extra_sends import ExtraSendBound
+from snipemount.decisions.leaf_choice import LeafChoice
+from snipemount.decisions.leaf_directory import LeafDirectory
+from snipemount.model.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    ServiceTraits,
+    ToAllShards,
+    ToService,
+    ToWeightedServices,
+    WeightedService,
+)
+from snipemount.model.forwarding import ForwardRequest
+from snipemount.model.leaf import Leaf
+from snipemount.serving.gateway import Gateway
+from snipemount.serving.request_log import RequestLog
+from snipemount.serving.surroundings import Surroundings
+from snipemount.standins.scripted_leafs import ScriptedLeafs
+from snipemount.timers import VirtualTimers
+
+HOST = "search.example"
+SHARDS = tuple(f"shard{number}" for number in range(20))
+RECORD_BYTES = 16
+
+
+def record(number: int) -> bytes:
+    """Return a record that sorts by `number`."""
+    return number.to_bytes(RECORD_BYTES, "big")
+
+
+def make_route(name: str, target, **fields) -> Route:
+    """Return a route under the prefix /name/."""
+    usual = {
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "idempotent": True,
+        "timeout_ms": 1500.0,
+        "target_latency_ms": 150.0,
+        "max_attempts": 2,
+        "priority": 1,
+    }
+    return Route(name=name, target=target, **(usual | fields))
+
+
+ROUTES = (
+    make_route("find", ToAllShards(SHARDS, 5, 0.75)),
+    make_route("look", ToService("ledger"), timeout_ms=6000.0, target_latency_ms=600.0),
+    make_route(
+        "log",
+        ToService("ledger"),
+        timeout_ms=6000.0,
+        target_latency_ms=600.0,
+        idempotent=False,
+    ),
+    make_route(
+        "split",
+        ToWeightedServices(
+            (WeightedService("ledger", 3.0), WeightedService("archive", 1.0))
+        ),
+    ),
+)
+
+
+def make_configuration(version: int = 1, routes=ROUTES) -> Configuration:
+    """Return a configuration of these routes."""
+    names = (*SHARDS, "ledger", "archive")
+    traits = {n: ServiceTraits(n, "/healthz", 26, 3000.0, 0.0) for n in names}
+    return Configuration(version, tuple(routes), traits, CallerLimits())
+
+
+def make_leaf(leaf_id: str, service: str, zone: str = "zone-a", **fields) -> Leaf:
+    """Return a ready leaf."""
+    usual = {
+        "host": "10.0.0.1",
+        "port": 8000,
+        "version": "v1",
+        "slots": 2,
+        "draining": False,
+        "cold_ms": 0.0,
+        "started_wall_ms": 1.0,
+    }
+    return Leaf(leaf_id=leaf_id, service=service, zone=zone, **(usual | fields))
+
+
+@attrs.define
+class Sample:
+    """A request of a test and its outcome."""
+
+    request_id: str
+    started_ms: float
+    run: object = None
+    outcome: object = None
+    elapsed_ms: float = 0.0
+
+
+class ServingWorld:
+    """A gateway with two leafs a shard and four of a ledger."""
+
+    def __init__(self, slack: float = 50.0, zone: str = "zone-a") -> None:
+        self.timers = VirtualTimers()
+        self.leafs = ScriptedLeafs(self.timers)
+        self.directory = LeafDirectory()
+        self.around = Surroundings(
+            self.timers,
+            self.leafs,
+            self.directory,
+            LeafChoice(zone, Random(1)),
+            ExtraSendBound(0.2, slack, 10_000.0),
+            1,
+        )
+        self.lines: list[dict] = []
+        logger = structlog.wrap_logger(None, processors=[self._capture])
+        self.gateway = Gateway(self.around, RequestLog(logger))
+        self.samples: list[Sample] = []
+
+    def _capture(self, logger, method, event):
+        self.lines.append(event)
+        raise structlog.DropEvent
+
+    def start(self) -> None:
+        """Put the configuration in force and list all leafs."""
+        self.gateway.put_in_force(make_configuration())
+        for number, shard in enumerate(SHARDS):
+            for zone in ("zone-a", "zone-b"):
+                leaf_id = f"{shard}-{zone}"
+                self.directory.put(make_leaf(leaf_id, shard, zone), 0.0)
+                self.leafs.scripts[leaf_id].body = record(number) + record(number + 50)
+        for number in range(4):
+            self.directory.put(make_leaf(f"ledger-{number}", "ledger"), 0.0)
+        self.directory.put(make_leaf("archive-0", "archive"), 0.0)
+
+    def run_for(self, span_ms: float) -> None:
+        """Let virtual time pass."""
+        self.timers.run_until(self.timers.now_ms() + span_ms)
+
+    def ask(self, route: str, deadline_ms: float = 1500.0, host: str = HOST) -> Sample:
+        """Send a request on a route."""
+        number = len(self.samples)
+        sample = Sample(f"r{number}", self.timers.now_ms())
+        self.samples.append(sample)
+        request = ForwardRequest(
+            sample.request_id,
+            "GET",
+            f"/{route}/{number}?q=1",
+            host,
+            (),
+            b"",
+            deadline_ms,
+        )
+
+        def done(outcome) -> None:
+            assert sample.outcome is None, "two outcomes for one request"
+            sample.outcome = outcome
+            sample.elapsed_ms = self.timers.now_ms() - sample.started_ms
+
+        sample.run = self.gateway.submit(request, done)
+        return sample
+
+
+__all__ = [
+    "HOST",
+    "ROUTES",
+    "SHARDS",
+    "Sample",
+    "ServingWorld",
+    "make_configuration",
+    "make_leaf",
+    "make_route",
+    "record",
+]
