Zones cut off: found by silence of several leafs, refused at once, told as not ready

Cause: while a zone is cut off its daemons hold queries that cannot reach the least share of shards until the deadline. Ruled out: slow or paused leafs alone (a scenario holds that).

--- a/src/snipemount/decisions/leaf_choice.py
+++ b/src/snipemount/decisions/leaf_choice.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Sequence
     from random import Random
 
     from .leaf_state import LeafState
@@ -47,6 +47,10 @@
             return None
         return min(left, key=lambda state: self.cost(state, expected_ms, now_ms))
 
+    def any_of(self, states: Sequence[LeafState]) -> LeafState:
+        """Return any leaf, so that probes reach different ones."""
+        return self._random.choice(states)
+
     def cost(self, state: LeafState, expected_ms: float, now_ms: float) -> float:
         """Return the expected wait, in multiples of a usual answer."""
         ahead = state.load(now_ms) / state.leaf.slots
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -15,6 +15,7 @@
 from .decisions.extra_sends import ExtraSendBound
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
+from .decisions.zone_reach import ZoneReach
 from .logs import make_logger
 from .platform.caller_server import CallerServer
 from .platform.documents import StoredDocuments
@@ -33,6 +34,7 @@
     from .platform.node_file import NodeSettings
 
 LOG_FLUSH_MS = 200.0
+PROBE_CHECK_MS = 100.0
 CONNECTION_SHARE = 0.95
 UNKNOWN_CONNECTIONS = 2
 REBALANCE_MS = 2500.0  # two missed readiness checks and the way there
@@ -68,6 +70,8 @@
                 bounds.extra_load_slack,
                 bounds.extra_load_window_ms,
             ),
+            ZoneReach(settings.zone),
+            self.logger,
         )
         self.gateway = Gateway(self._around, RequestLog(self.logger))
         store = settings.store
@@ -88,7 +92,8 @@
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
         known = self.gateway.configuration is not None
-        return known and len(self._around.directory) > 0 and not self._callers.closing
+        able = known and len(self._around.directory) > 0
+        return able and not self._callers.closing and not self.gateway.is_isolated
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -105,6 +110,7 @@
         )
         self._feed.start()
         self._timers.call_every(LOG_FLUSH_MS, self._flush_log)
+        self._timers.call_every(PROBE_CHECK_MS, self._around.probe_zones)
         self.logger.info("started", zone=own.zone, callers=own.callers.port)
         await self._stopping.wait()
         await self._stop(listener)
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -76,6 +76,7 @@
     """Why a leaf certainly did not run a request."""
 
     UNREACHABLE = "unreachable"
+    NOBODY_LISTENS = "nobody_listens"
     NO_CONNECTION = "no_connection"
     REFUSED = "refused"
     OTHER_LEAF = "other_leaf"
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -100,6 +100,21 @@
             self._spawn(self._open(pool, leg, leaf, request, time_left_ms))
         return leg
 
+    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+        """Open a connection and keep it for later requests."""
+        self._spawn(self._probe(leaf, done))
+
+    async def _probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+        pool = self._pools[leaf.host, leaf.port]
+        try:
+            connection = await self._connect(pool, leaf)
+        except (OSError, TimeoutError) as error:
+            done(_reason(error) is NotRunReason.NOBODY_LISTENS)
+            return
+        self.opened += 1
+        self._freed(pool, connection)
+        done(True)
+
     def forget(self, leaf: Leaf) -> None:
         """Close the idle connections to a leaf that is gone."""
         pool = self._pools.pop((leaf.host, leaf.port), None)
@@ -185,8 +200,11 @@
 
 
 def _reason(error: Exception) -> NotRunReason:
-    local = isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE)
-    return NotRunReason.NO_CONNECTION if local else NotRunReason.UNREACHABLE
+    if isinstance(error, ConnectionRefusedError | ConnectionResetError):
+        return NotRunReason.NOBODY_LISTENS
+    if isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE):
+        return NotRunReason.NO_CONNECTION
+    return NotRunReason.UNREACHABLE
 
 
 __all__ = ["LeafClient"]
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -51,6 +51,10 @@
     ) -> LegHandle:
         """Send `request`; `done` gets the report, never before this returns."""
 
+    @abstractmethod
+    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+        """Open a connection; `done` gets whether the leaf's VM gave a sign of life."""
+
     @abstractmethod
     def forget(self, leaf: Leaf) -> None:
         """Close the idle connections to a leaf that is gone."""
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -59,6 +59,15 @@
         """Version in force; 0 before the first."""
         return 0 if self.configuration is None else self.configuration.version
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether a zone is cut off and queries cannot be served without it."""
+        if self.configuration is None or not self._around.reach.cut_off_zones():
+            return False
+        targets = (route.target for route in self.configuration.routes)
+        queries = (target for target in targets if isinstance(target, ToAllShards))
+        return any(not self._around.can_serve(target) for target in queries)
+
     def traits(self, service: str) -> ServiceTraits | None:
         """Return what the operators state about a service."""
         known = self.configuration
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -99,10 +99,7 @@
         ]
 
     def _enough_shards(self) -> bool:
-        directory = self._around.directory
-        shards = self._target.shards
-        served = sum(bool(directory.service_states(shard)) for shard in shards)
-        return self._enough(served)
+        return self._around.can_serve(self._target)
 
     def _enough(self, answered: int) -> bool:
         return answered > 0 and self._share(answered) >= self._target.least_share
@@ -115,8 +112,17 @@
             return
         for call in self._calls:
             call.second_send()
+            call.note_silence()
+        if self._is_hopeless():
+            self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
+            return
         self._around.timers.call_later(SECOND_SEND_PERIOD_MS, self._second_sends)
 
+    def _is_hopeless(self) -> bool:
+        if not self._around.reach.cut_off_zones():
+            return False
+        return not self._enough(sum(call.has_prospect for call in self._calls))
+
     def _settled(self, call: ServiceCall) -> None:
         self._open -= 1
         if self._done is None:
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..decisions.zone_reach import SILENT_AFTER_MS
 from ..model.forwarding import LeafAnswer, Lost, NotRun, NotRunReason
 
 if TYPE_CHECKING:
@@ -18,6 +19,11 @@
     from .surroundings import Surroundings
 
 SERVER_ERROR = 500
+SILENT_RATIO = 3.0
+NO_SIGN_OF_LIFE = (
+    NotRun(NotRunReason.UNREACHABLE),
+    NotRun(NotRunReason.NO_CONNECTION),
+)
 
 
 @attrs.define(eq=False)
@@ -107,13 +113,33 @@
             return False
         return self._spend() and self._send_next()
 
+    def note_silence(self) -> None:
+        """Take sends that wait much longer than usual as silence of their leafs."""
+        now_ms = self._around.timers.now_ms()
+        for leg in self._legs:
+            if now_ms - leg.sent_ms > self._silent_after_ms:
+                self._around.silent(leg.state.leaf)
+
+    @property
+    def has_prospect(self) -> bool:
+        """Whether an answer is in, or may come from a zone that is reached."""
+        if self.settled:
+            return self.answer is not None
+        reach = self._around.reach
+        waiting = any(not reach.is_cut_off(leg.state.leaf.zone) for leg in self._legs)
+        return waiting or self._has_other_leaf()
+
+    @property
+    def _silent_after_ms(self) -> float:
+        return max(SILENT_AFTER_MS, SILENT_RATIO * self._timing.usual_ms)
+
     def cancel(self) -> None:
         """Stop all work on the call; it is not reported any more."""
         self.settled = True
         self._cancel_legs()
 
     def _has_other_leaf(self) -> bool:
-        states = self._around.directory.service_states(self.service)
+        states = self._around.candidates(self.service)
         now_ms = self._around.timers.now_ms()
         return any(
             state.leaf.leaf_id not in self._tried and not state.is_paused(now_ms)
@@ -131,7 +157,7 @@
         left_ms = self._deadline_at_ms - now_ms
         if left_ms < 1.0 or self._runs >= self._route.max_attempts:
             return False
-        states = self._around.directory.service_states(self.service)
+        states = self._around.candidates(self.service)
         state = self._around.choice.pick(
             states, self._tried, self._timing.usual_ms, now_ms
         )
@@ -153,6 +179,8 @@
         self._legs.remove(leg)
         now_ms = self._around.timers.now_ms()
         self._note(leg, report, now_ms)
+        if report.outcome not in NO_SIGN_OF_LIFE:
+            self._around.heard(leg.state.leaf)
         if report.load is not None:
             leg.state.told(report.load, now_ms)
         match report.outcome:
@@ -192,6 +220,10 @@
             case NotRunReason.UNREACHABLE:
                 self._arrivals -= 1
                 leg.state.lost(leg.number, True, now_ms)
+                self._around.silent(leg.state.leaf)
+            case NotRunReason.NOBODY_LISTENS:
+                self._arrivals -= 1
+                leg.state.lost(leg.number, True, now_ms)
             case NotRunReason.NO_CONNECTION:
                 self._arrivals -= 1
                 leg.state.refused(leg.number, now_ms)
@@ -222,6 +254,8 @@
         now_ms = self._around.timers.now_ms()
         for leg in self._legs:
             leg.state.given_up(leg.number, self._timing.usual_ms, now_ms)
+            if now_ms - leg.sent_ms > self._silent_after_ms:
+                self._around.silent(leg.state.leaf)
             if leg.handle is not None:
                 leg.handle.cancel()
         self._legs.clear()
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -10,10 +10,15 @@
 from ..decisions.extra_sends import ExtraSends
 
 if TYPE_CHECKING:
+    from structlog.typing import FilteringBoundLogger
+
     from ..decisions.extra_sends import ExtraSendBound
     from ..decisions.leaf_choice import LeafChoice
     from ..decisions.leaf_directory import LeafDirectory
-    from ..model.configuration import Route
+    from ..decisions.leaf_state import LeafState
+    from ..decisions.zone_reach import ZoneReach
+    from ..model.configuration import Route, ToAllShards
+    from ..model.leaf import Leaf
     from ..ports.leaf import LeafPort
     from ..timers import TimerService
 
@@ -34,6 +39,10 @@
         Which of them is asked first.
     bound : ExtraSendBound
         Bound on second sends over all daemons.
+    reach : ZoneReach
+        Which zones are reached.
+    logger : FilteringBoundLogger
+        Logger.
     daemons : int
         Daemons that share the bounds.
     """
@@ -43,6 +52,8 @@
     directory: LeafDirectory
     choice: LeafChoice
     bound: ExtraSendBound
+    reach: ZoneReach
+    logger: FilteringBoundLogger
     daemons: int = 8
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraSends] = attrs.field(factory=dict)
@@ -58,6 +69,42 @@
             found = self.timings[route.name] = RouteTiming(route)
         return found
 
+    def candidates(self, service: str) -> list[LeafState]:
+        """Return the leafs of a service that may be asked and can be reached."""
+        states = self.directory.service_states(service)
+        if not self.reach.cut_off_zones():
+            return states
+        return [s for s in states if not self.reach.is_cut_off(s.leaf.zone)]
+
+    def can_serve(self, target: ToAllShards) -> bool:
+        """Return whether enough of a query's shards have a leaf that is reached."""
+        served = sum(bool(self.candidates(shard)) for shard in target.shards)
+        return served > 0 and served >= target.least_share * len(target.shards)
+
+    def heard(self, leaf: Leaf) -> None:
+        """Note that something came from a leaf."""
+        if self.reach.heard(leaf.zone, self.timers.now_ms()):
+            self.logger.info("zone_reached", zone=leaf.zone)
+
+    def silent(self, leaf: Leaf) -> None:
+        """Note that a leaf gave no sign of life."""
+        if self.reach.silent(leaf.zone, leaf.leaf_id, self.timers.now_ms()):
+            self.logger.warning("zone_cut_off", zone=leaf.zone)
+
+    def probe_zones(self) -> None:
+        """Probe one leaf of each zone that is taken as cut off."""
+        for zone in self.reach.due_probes(self.timers.now_ms()):
+            states = [s for s in self.directory.all_states() if s.leaf.zone == zone]
+            if states:
+                self._probe(self.choice.any_of(states).leaf)
+
+    def _probe(self, leaf: Leaf) -> None:
+        def done(alive: bool) -> None:
+            if alive:
+                self.heard(leaf)
+
+        self.leafs.probe(leaf, done)
+
     def budget(self, service: str) -> ExtraSends:
         """Return the budget of second sends to a service."""
         found = self.budgets.get(service)
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -87,6 +87,7 @@
         self.arrivals: list[tuple[float, str, str]] = []
         self.runs: Counter[str] = Counter()
         self.cancelled = 0
+        self.probes = 0
         self.forgotten: list[str] = []
         self.working: Counter[str] = Counter()
 
@@ -115,6 +116,13 @@
         report = self._report(leaf, script)
         return self._later(start_ms + script.work_ms, leaf, done, report)
 
+    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+        """Tell whether the leaf can be reached."""
+        script = self.scripts[leaf.leaf_id]
+        self.probes += 1
+        alive = not (script.unreachable or script.dark)
+        self._timers.call_later(1.0, lambda: done(alive))
+
     def forget(self, leaf: Leaf) -> None:
         """Note that the connections to a leaf were closed."""
         self.forgotten.append(leaf.leaf_id)
--- /dev/null
+++ b/tests/serving/isolation.feature
@@ -0,0 +1,37 @@
+Feature: A daemon cut off from other zones refuses at once and says that it is not ready
+
+  Scenario: The other zone falls silent, and the own zone has too few shards
+    Given a serving path whose shards have one leaf each, half of them in zone-b
+    When 5 queries are asked, 200 ms apart
+    And the leafs of zone-b fall silent
+    And 5 queries are asked, 200 ms apart
+    And a query is asked
+    Then it is refused at once with a time to come back
+    And the daemon is isolated
+    And a log line tells that zone-b is cut off
+
+  Scenario: The zone is heard again
+    Given a serving path whose shards have one leaf each, half of them in zone-b
+    When 5 queries are asked, 200 ms apart
+    And the leafs of zone-b fall silent
+    And 5 queries are asked, 200 ms apart
+    And the leafs of zone-b are heard again
+    And 600 ms pass
+    Then the daemon is not isolated
+    And a query is answered by all shards
+
+  Scenario: A few slow leafs of a zone do not make it cut off
+    Given a serving path whose shards have one leaf each, half of them in zone-b
+    When 5 queries are asked, 200 ms apart
+    And 5 leafs of zone-b fall silent
+    And 5 queries are asked, 200 ms apart
+    Then the daemon is not isolated
+
+  Scenario: A zone cut off costs nothing where the own zone has all shards
+    Given a serving path with two leafs a shard
+    When the leafs of zone-b fall silent
+    And 20 queries are asked, 100 ms apart
+    And a query is asked
+    And 200 ms pass
+    Then the answer has 20 shards and misses 0
+    And the daemon is not isolated
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -298,3 +298,62 @@
     leafs = [leaf for _, leaf, _ in context.serving.leafs.arrivals]
     got = sum(leaf.startswith("archive") for leaf in leafs)
     assert (len(leafs) - got, got) == (ledger, archive)
+
+
+@given("a serving path whose shards have one leaf each, half of them in zone-b")
+def step_half(context):
+    world = ServingWorld()
+    context.serving = world
+    world.start()
+    for number, shard in enumerate(SHARDS):
+        zone = "zone-a" if number % 2 else "zone-b"
+        world.directory.remove(f"{shard}-{zone}", 1e9)
+    world.run_for(10_000.0)
+
+
+def in_zone(context, zone):
+    """Return the scripts of a zone's leafs."""
+    scripts = context.serving.leafs.scripts
+    states = context.serving.directory.all_states()
+    return [scripts[s.leaf.leaf_id] for s in states if s.leaf.zone == zone]
+
+
+@when("the leafs of {zone} fall silent")
+def step_zone_silent(context, zone):
+    for script in in_zone(context, zone):
+        script.dark = True
+
+
+@when("{count:d} leafs of {zone} fall silent")
+def step_some_silent(context, count, zone):
+    for script in in_zone(context, zone)[:count]:
+        script.dark = True
+
+
+@when("the leafs of {zone} are heard again")
+def step_zone_heard(context, zone):
+    for script in in_zone(context, zone):
+        script.dark = False
+
+
+@then("the daemon is isolated")
+def step_isolated(context):
+    assert context.serving.gateway.is_isolated
+
+
+@then("the daemon is not isolated")
+def step_not_isolated(context):
+    assert not context.serving.gateway.is_isolated
+
+
+@then("a log line tells that {zone} is cut off")
+def step_cut_line(context, zone):
+    lines = [x for x in context.serving.lines if x["event"] == "zone_cut_off"]
+    assert [line["zone"] for line in lines] == [zone]
+
+
+@then("a query is answered by all shards")
+def step_all_shards(context):
+    step_query(context)
+    context.serving.run_for(500.0)
+    step_answer(context, len(SHARDS), 0)
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -10,6 +10,7 @@
 from snipemount.decisions.extra_sends import ExtraSendBound
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_directory import LeafDirectory
+from snipemount.decisions.zone_reach import ZoneReach
 from snipemount.model.configuration import (
     CallerLimits,
     Configuration,
@@ -107,6 +108,8 @@
     """A gateway with two leafs a shard and four of a ledger."""
 
     def __init__(self, slack: float = 50.0, zone: str = "zone-a") -> None:
+        self.lines: list[dict] = []
+        logger = structlog.wrap_logger(None, processors=[self._capture])
         self.timers = VirtualTimers()
         self.leafs = ScriptedLeafs(self.timers)
         self.directory = LeafDirectory()
@@ -116,10 +119,11 @@
             self.directory,
             LeafChoice(zone, Random(1)),
             ExtraSendBound(0.2, slack, 10_000.0),
+            ZoneReach(zone),
+            logger,
             1,
         )
-        self.lines: list[dict] = []
-        logger = structlog.wrap_logger(None, processors=[self._capture])
+        self.timers.call_every(100.0, self.around.probe_zones)
         self.gateway = Gateway(self.around, RequestLog(logger))
         self.samples: list[Sample] = []
 
