--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -14,7 +14,6 @@
     from ..model.leaf import Leaf
 
 RETURN_GRACE_MS = 2200.0  # entries that lapsed in an outage are back by then
-OUTAGE_MS = 1000.0
 MASS_REMOVAL_SHARE = 0.25
 MASS_REMOVAL_LEAST = 4
 
@@ -31,7 +30,7 @@
         self._services: defaultdict[str, dict[str, LeafState]] = defaultdict(dict)
         self._doubted: set[str] = set()
         self._closed_zones: frozenset[str] = frozenset()
-        self._contact_ms: float | None = None
+        self._in_contact = False
         self._grace_until_ms = -math.inf
 
     def __len__(self) -> int:
@@ -59,13 +58,13 @@
 
     def contact(self, now_ms: float) -> None:
         """Note that the store has answered."""
-        if self._contact_ms is None or now_ms - self._contact_ms > OUTAGE_MS:
+        if not self._in_contact:
             self._grace_until_ms = now_ms + RETURN_GRACE_MS
-        self._contact_ms = now_ms
+        self._in_contact = True
 
     def contact_lost(self) -> None:
         """Note that the store does not answer."""
-        self._contact_ms = None
+        self._in_contact = False
 
     def put(self, leaf: Leaf, now_ms: float) -> None:
         """Take an entry; one of an earlier start is ignored."""
@@ -97,7 +96,8 @@
         """Take removals that came together; very many at once are doubted."""
         gone = [leaf_id for leaf_id in leaf_ids if leaf_id in self._leafs]
         most = max(MASS_REMOVAL_LEAST, MASS_REMOVAL_SHARE * len(self._leafs))
-        if len(gone) > most:
+        unannounced = [name for name in gone if not self._leafs[name].leaf.draining]
+        if len(unannounced) > most:
             self._grace_until_ms = max(self._grace_until_ms, now_ms + RETURN_GRACE_MS)
         removed = (self.remove(leaf_id, now_ms) for leaf_id in gone)
         return [leaf for leaf in removed if leaf is not None]
@@ -112,7 +112,7 @@
 
     def settle_doubts(self, now_ms: float) -> list[Leaf]:
         """Drop the doubted leafs whose grace is over."""
-        if not self._doubted or self._contact_ms is None:
+        if not self._doubted or not self._in_contact:
             return []
         if now_ms < self._grace_until_ms:
             return []
--- a/tests/serving/directory.feature
+++ b/tests/serving/directory.feature
@@ -28,6 +28,13 @@
     And 1 entries are removed
     Then the directory has 11 leafs
 
+  Scenario: A removal counts at once where the store confirms only every 2.5 s
+    Given a directory with 12 leafs, fed by the store
+    When 3000 ms pass with the store in contact
+    And 2500 ms pass
+    And 1 entries are removed
+    Then the directory has 11 leafs
+
   Scenario: A draining leaf and the leafs of a closed zone get nothing
     Given a directory with 12 leafs, fed by the store
     When leaf 0 drains
