--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -20,7 +20,7 @@
 
 SERVER_ERROR = 500
 SILENT_RATIO = 3.0
-HEDGE_SHARE = 0.6  # the rest is for sends after a failure or a refusal
+HEDGE_SHARE = 0.8  # the rest is for sends after a failure or a refusal
 NO_SIGN_OF_LIFE = (
     NotRun(NotRunReason.UNREACHABLE),
     NotRun(NotRunReason.NO_CONNECTION),
