Store feed: one daemon of a zone follows the store, the others follow it

Now the daemon whose name comes first in its zone follows the store and passes listings, changes, confirmations and losses on over websockets with CBOR; each of the others turns to the store itself as soon as that one is silent, stops or does not reach the store, from the version it knows, and follows again later. A daemon restarted alone turns to the store at once; while the store is away it asks the seeds. Daemons register once in the store and are counted there.

--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from .adapters.relay_websocket import WebsocketRelay
 from .bounded_writer import BoundedWriter
 from .decisions.extra_sends import ExtraSendBound
 from .decisions.leaf_choice import LeafChoice
@@ -22,6 +23,7 @@
 from .platform.leaf_client import LeafClient
 from .platform.node_file import node_file_path, read_node_file
 from .platform.store_client import StoreClient
+from .ports.relay import DaemonAddress
 from .serving.gateway import Gateway
 from .serving.request_log import RequestLog
 from .serving.store_feed import StoreFeed
@@ -31,6 +33,7 @@
 
 if TYPE_CHECKING:
     from .model.leaf import Leaf
+    from .model.relay import RelayMessage
     from .platform.node_file import NodeSettings
 
 LOG_FLUSH_MS = 200.0
@@ -76,12 +79,18 @@
         self.gateway = Gateway(self._around, RequestLog(self.logger))
         store = settings.store
         self._store = StoreClient(PlatformSettings(f"http://{store.host}:{store.port}"))
+        peers = settings.peers
+        self._relay = WebsocketRelay(
+            peers.host, peers.port, self._relay_snapshot, self.logger
+        )
         self._feed = StoreFeed(
             self._store,
+            self._relay,
             self.gateway,
             self._around,
             StoredDocuments(),
-            settings.name,
+            DaemonAddress(settings.name, settings.zone, peers.host, peers.port),
+            _seed_addresses(settings),
             self._random,
             self.logger,
         )
@@ -108,13 +117,17 @@
         listener = await self._loop.create_server(
             self._callers, own.callers.host, own.callers.port, backlog=1024
         )
-        self._feed.start()
+        await self._relay.listen()
+        self._feed.start(own.first_start)
         self._timers.call_every(LOG_FLUSH_MS, self._flush_log)
         self._timers.call_every(PROBE_CHECK_MS, self._around.probe_zones)
         self.logger.info("started", zone=own.zone, callers=own.callers.port)
         await self._stopping.wait()
         await self._stop(listener)
 
+    def _relay_snapshot(self) -> list[RelayMessage]:
+        return self._feed.snapshot()
+
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
@@ -153,10 +166,17 @@
         await self._idle(end_ms)
         self.logger.info("stopped", in_flight=self._callers.in_flight)
         self._leafs.close()
+        await self._relay.close()
         await self._store.close()
         self._log_writer.flush()
 
 
+def _seed_addresses(settings: NodeSettings) -> tuple[DaemonAddress, ...]:
+    own = settings.peers
+    others = (host for host in settings.seeds if host != own.host)
+    return tuple(DaemonAddress(f"seed:{h}", "", h, own.port) for h in others)
+
+
 async def serve() -> None:
     """Run the daemon that the settings file describes."""
     settings = read_node_file(Path(node_file_path()))
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -9,7 +9,7 @@
 from ..decisions.server_owner import NotConnected
 from ..ports.backend import BackendPort
 from ..ports.peer import PeerPort
-from ..ports.platform import Expired, Failed, Kind, PlatformPort
+from ..ports.platform import Expired, Failed, Kind, PlatformPort, Watch
 from ..timers import Timer, TimerService
 
 if TYPE_CHECKING:
@@ -354,7 +354,7 @@
 
     def watch(
         self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
-    ) -> None:
+    ) -> Watch:
         """Report each later change until the platform goes down."""
 
         def forward(entry: LogEntry) -> None:
@@ -370,9 +370,10 @@
             self._store.unsubscribe(number)
             event = Failed("platform is down") if self._down else Expired()
             self._timers.call_later(PLATFORM_MS, lambda: on_event(event))
-            return
+            return Watch(lambda: None)
         for entry in missed:
             forward(entry)
+        return Watch(lambda: self._store.unsubscribe(number))
 
     def _call(self, act: Callable[[], T], done: Callable[[T | Failed], None]) -> None:
         delay_ms = PLATFORM_MS / 2 + self._faults.slow_ms
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -75,6 +75,12 @@
         Where the balancer asks whether it may send callers.
     store : Endpoint
         The platform's store.
+    peers : Endpoint
+        Where other daemons connect; the port is the same on all VMs.
+    seeds : tuple of str
+        IP numbers of a few VMs of the system, maybe stale.
+    first_start : bool
+        Whether the whole system starts for the first time.
     bounds : GuaranteeBounds
         Bounds of the guarantees.
     """
@@ -84,6 +90,9 @@
     callers: Endpoint
     readiness: Endpoint
     store: Endpoint
+    peers: Endpoint
+    seeds: tuple[str, ...]
+    first_start: bool
     bounds: GuaranteeBounds
 
 
@@ -116,6 +125,9 @@
         callers=fields.endpoint("listen_addrs.front"),
         readiness=fields.endpoint("listen_addrs.readiness"),
         store=fields.endpoint("platform.address"),
+        peers=Endpoint(fields.text("ip"), fields.first_port("port_range")),
+        seeds=fields.hosts("seeds"),
+        first_start=fields.flag("bootstrap"),
         bounds=GuaranteeBounds(
             drain_ms=fields.number("bounds.drain_ms", 3000.0),
             grace_ms=fields.number("bounds.grace_s", 6.0) * MS_PER_S,
@@ -158,6 +170,20 @@
         except ValueError:
             raise SettingsError(f"{key}: not a number") from None
 
+    def flag(self, key: str) -> bool:
+        return self._fields.get(key, "").lower() == "true"
+
+    def first_port(self, key: str) -> int:
+        first = self.text(key).partition(",")[0]
+        if not first.isdigit():
+            raise SettingsError(f"{key}: not a range of ports")
+        return int(first)
+
+    def hosts(self, key: str) -> tuple[str, ...]:
+        addresses = self._fields.get(key, "").split(",")
+        hosts = (address.strip().rpartition(":")[0] for address in addresses)
+        return tuple(host for host in hosts if host)
+
     def endpoint(self, key: str) -> Endpoint:
         host, _, port = self.text(key).rpartition(":")
         if not host or not port.isdigit():
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -20,6 +20,7 @@
     PlatformPort,
     StoredObject,
     Unchanged,
+    Watch,
     Written,
 )
 
@@ -150,9 +151,10 @@
 
     def watch(
         self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
-    ) -> None:
+    ) -> Watch:
         """Report each later change."""
-        self._spawn(self._watch(kind, version, on_event))
+        task = self._spawn(self._watch(kind, version, on_event))
+        return Watch(lambda: self._stop(task))
 
     async def close(self) -> None:
         """End all calls and close the connections."""
@@ -162,10 +164,15 @@
         if self._session is not None:
             await self._session.close()
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    @staticmethod
+    def _stop(task: asyncio.Task[None]) -> None:
+        task.cancel()
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -134,6 +134,23 @@
 WatchEvent = Changed | Deleted | Unchanged | Expired | Failed
 
 
+class Watch:
+    """A watch under way.
+
+    Parameters
+    ----------
+    stop : Callable
+        Ends it.
+    """
+
+    def __init__(self, stop: Callable[[], None]) -> None:
+        self._stop = stop
+
+    def cancel(self) -> None:
+        """End the watch; nothing is reported any more."""
+        self._stop()
+
+
 class PlatformPort(ABC):
     """Reads, conditional writes and watches."""
 
@@ -175,7 +192,7 @@
     @abstractmethod
     def watch(
         self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
-    ) -> None:
+    ) -> Watch:
         """Report each later change; `Expired` or `Failed` ends the watch."""
 
 
@@ -194,6 +211,7 @@
     "ReadResult",
     "StoredObject",
     "Unchanged",
+    "Watch",
     "WatchEvent",
     "WriteResult",
     "Written",
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -1,176 +1,76 @@
-"""What the platform's store tells the serving path: configuration, leafs, orders."""
+"""How a daemon hears the platform's store: itself, or over a daemon of its zone.
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING, Protocol
+Calls to the store are priced, so one daemon of a zone follows it and the others
+follow that daemon. Each one turns to the store itself as soon as the daemon that it
+follows is silent, or does not reach the store either.
+"""
 
-import attrs
+from __future__ import annotations
 
-from ..errors import DecodeError
-from ..ports.platform import Failed, Kind, Listed
+from typing import TYPE_CHECKING
+
+from ..decisions.relay_order import relay_order
+from ..model.relay import (
+    RelayAlive,
+    RelayChange,
+    RelayConfirmation,
+    RelayListing,
+    RelayLoss,
+    RelayRemoval,
+)
+from ..ports.platform import Conflicted, Failed, Found, Kind, Listed, Missing, Written
+from ..ports.relay import DaemonAddress
 from .followed_kind import FollowedKind
+from .store_subscribers import ConfigurationSubscriber, LeafSubscriber, ZoneSubscriber
 
 if TYPE_CHECKING:
     from random import Random
 
     from structlog.typing import FilteringBoundLogger
 
-    from ..model.configuration import Configuration
-    from ..model.leaf import Leaf, VersionOrder
-    from ..ports.platform import ListResult, PlatformPort, StoredObject
+    from ..model.relay import RelayMessage
+    from ..ports.platform import (
+        ListResult,
+        PlatformPort,
+        ReadResult,
+        StoredObject,
+        WriteResult,
+    )
+    from ..ports.relay import RelayPort
     from .gateway import Gateway
+    from .store_subscribers import Documents
     from .surroundings import Surroundings
 
 ORDERS_PERIOD_MS = 1000.0
-DAEMONS_PERIOD_MS = 10_000.0
 HOUSEKEEPING_MS = 250.0
-
-
-class Documents(Protocol):
-    """Decoders of stored objects; each raises DecodeError."""
-
-    def configuration(self, stored: StoredObject) -> Configuration:
-        """Decode the operators' configuration."""
-
-    def leaf(self, stored: StoredObject) -> Leaf:
-        """Decode an entry of the directory."""
-
-    def version_order(self, stored: StoredObject) -> VersionOrder:
-        """Decode an order to move a service to a version."""
-
-
-@attrs.define(eq=False)
-class ConfigurationSubscriber:
-    """Puts each newer configuration in force."""
-
-    gateway: Gateway
-    documents: Documents
-    logger: FilteringBoundLogger
-
-    def listed(self, objects: tuple[StoredObject, ...]) -> None:
-        """Take the configuration, if it has been written."""
-        for stored in objects:
-            self.changed(stored)
-
-    def changed(self, stored: StoredObject) -> None:
-        """Put a newer version in force; one that is unreadable changes nothing."""
-        try:
-            configuration = self.documents.configuration(stored)
-        except DecodeError as error:
-            self.logger.error("configuration_unreadable", reason=error.detail)
-            return
-        before = self.gateway.version
-        if self.gateway.put_in_force(configuration):
-            self.logger.info(
-                "configuration_in_force",
-                version=configuration.version,
-                before=before,
-                routes=len(configuration.routes),
-            )
-
-    def removed(self, name: str) -> None:
-        """Keep what is in force: an accepted configuration never goes back."""
-        self.logger.warning("configuration_removed", name=name)
-
-    def contact(self) -> None:
-        """Nothing to note: the leafs' feed tells of the store."""
-
-    def contact_lost(self, reason: str) -> None:
-        """Log that changes are not heard for now."""
-        self.logger.warning(
-            "configuration_feed_lost", reason=reason, version=self.gateway.version
-        )
-
-
-@attrs.define(eq=False)
-class LeafSubscriber:
-    """Keeps the directory of leafs."""
-
-    around: Surroundings
-    documents: Documents
-    logger: FilteringBoundLogger
-    removals: set[str] = attrs.field(factory=set)
-    unreadable: set[str] = attrs.field(factory=set)
-    in_contact: bool = False
-
-    def listed(self, objects: tuple[StoredObject, ...]) -> None:
-        """Take a whole listing."""
-        now_ms = self.around.timers.now_ms()
-        self.around.directory.contact(now_ms)
-        decoded = (self._decode(stored) for stored in objects)
-        leafs = [leaf for leaf in decoded if leaf is not None]
-        self._gone(self.around.directory.replace_all(leafs, now_ms), "not_listed")
-
-    def changed(self, stored: StoredObject) -> None:
-        """Take one entry; one that is unreadable names no leaf to use."""
-        leaf = self._decode(stored)
-        if leaf is None:
-            self.removals.add(stored.name)
-            return
-        self.removals.discard(leaf.leaf_id)
-        known = self.around.directory.known(leaf.leaf_id)
-        if leaf.draining and (known is None or not known.leaf.draining):
-            self.logger.info("leaf_draining", leaf=leaf.leaf_id, service=leaf.service)
-        self.around.directory.put(leaf, self.around.timers.now_ms())
-
-    def removed(self, name: str) -> None:
-        """Collect removals: many that come together are doubted."""
-        self.removals.add(name)
-
-    def contact(self) -> None:
-        """Apply the removals of this batch."""
-        now_ms = self.around.timers.now_ms()
-        if not self.in_contact:
-            self.logger.info("store_reached")
-        self.in_contact = True
-        self.around.directory.contact(now_ms)
-        removals, self.removals = sorted(self.removals), set()
-        self._gone(self.around.directory.remove_all(removals, now_ms), "removed")
-
-    def contact_lost(self, reason: str) -> None:
-        """Note that entries may lapse though their leafs live."""
-        if self.in_contact:
-            self.logger.warning("store_lost", reason=reason)
-        self.in_contact = False
-        self.around.directory.contact_lost()
-
-    def settle_doubts(self) -> None:
-        """Drop the leafs that did not come back after an outage."""
-        gone = self.around.directory.settle_doubts(self.around.timers.now_ms())
-        self._gone(gone, "not_back_after_outage")
-
-    def _gone(self, leafs: list[Leaf], reason: str) -> None:
-        for leaf in leafs:
-            self.around.leafs.forget(leaf)
-            self.logger.info(
-                "leaf_gone", leaf=leaf.leaf_id, service=leaf.service, reason=reason
-            )
-
-    def _decode(self, stored: StoredObject) -> Leaf | None:
-        try:
-            return self.documents.leaf(stored)
-        except DecodeError as error:
-            if stored.name not in self.unreadable:
-                self.unreadable.add(stored.name)
-                self.logger.warning("leaf_entry_unreadable", reason=error.detail)
-            return None
+ALIVE_PERIOD_MS = 500.0
+FIRST_LOOK_MS = 600.0  # the daemons of a deployment start together
+LOOK_PERIOD_MS = 10_000.0
+FAILED_LOOK_MS = 2000.0
+FOLLOW_DELAY_MS = 500.0  # so that the daemon to follow has listed the store
+NEXT_TRY_MS = 300.0
+CATCH_UP_MS = 3500.0  # a daemon that follows the store has asked it again by then
 
 
 class StoreFeed:
-    """Follows the store and feeds gateway and directory.
+    """Feeds gateway and directory, and the daemons that follow this one.
 
     Parameters
     ----------
     platform : PlatformPort
         The store.
+    relay : RelayPort
+        The other daemons.
     gateway : Gateway
         Takes configurations.
     around : Surroundings
         Takes leafs, closed zones and the number of daemons.
     documents : Documents
         Decoders.
-    name : str
-        Name of this daemon, under which the others count it.
+    own : DaemonAddress
+        This daemon.
+    seeds : tuple of DaemonAddress
+        Daemons to ask at a start while the store is away.
     random : Random
         Spreads calls.
     logger : FilteringBoundLogger
@@ -180,48 +80,215 @@
     def __init__(
         self,
         platform: PlatformPort,
+        relay: RelayPort,
         gateway: Gateway,
         around: Surroundings,
         documents: Documents,
-        name: str,
+        own: DaemonAddress,
+        seeds: tuple[DaemonAddress, ...],
         random: Random,
         logger: FilteringBoundLogger,
     ) -> None:
+        self._seeds = seeds
         self._platform = platform
+        self._relay = relay
         self._around = around
-        self._name = name
+        self._own = own
+        self._random = random
         self._logger = logger
+        self._leafs = LeafSubscriber(around, documents, logger)
         timers = around.timers
-        self.leafs = LeafSubscriber(around, documents, logger)
-        configuration = ConfigurationSubscriber(gateway, documents, logger)
-        self._followed = [
-            FollowedKind(platform, Kind.CONFIGURATION, configuration, timers, random),
-            FollowedKind(platform, Kind.LEAF, self.leafs, timers, random),
-        ]
-        self._closed_zones: frozenset[str] = frozenset()
-
-    def start(self) -> None:
-        """Follow configuration and leafs; ask for orders now and then."""
-        for followed in self._followed:
-            followed.start()
-        self._ask_zone_orders()
+        publish = self._publish
+        self._kinds = {
+            Kind.CONFIGURATION: FollowedKind(
+                platform,
+                Kind.CONFIGURATION,
+                ConfigurationSubscriber(gateway, documents, logger),
+                timers,
+                random,
+                publish,
+            ),
+            Kind.LEAF: FollowedKind(
+                platform, Kind.LEAF, self._leafs, timers, random, publish
+            ),
+            Kind.ZONE_ORDER: FollowedKind(
+                platform,
+                Kind.ZONE_ORDER,
+                ZoneSubscriber(around, logger),
+                timers,
+                random,
+                publish,
+                ORDERS_PERIOD_MS,
+            ),
+        }
+        self._daemons: tuple[DaemonAddress, ...] = ()
+        self._followed: DaemonAddress | None = None
+        self._untried: list[DaemonAddress] = []
+
+    def start(self, first_start: bool) -> None:
+        """Register, look for a daemon to follow, and follow the store otherwise.
+
+        Parameters
+        ----------
+        first_start : bool
+            Whether the whole deployment starts; a daemon that is restarted alone
+            turns to the store at once, to serve again soon.
+        """
+        self._register()
         timers = self._around.timers
-        timers.call_every(ORDERS_PERIOD_MS, self._ask_zone_orders)
-        timers.call_every(HOUSEKEEPING_MS, self.leafs.settle_doubts)
+        timers.call_later(FIRST_LOOK_MS, self._first_look)
+        if not first_start:
+            self._follow_store()
+        timers.call_every(HOUSEKEEPING_MS, self._leafs.settle_doubts)
+        timers.call_every(ALIVE_PERIOD_MS, lambda: self._publish(RelayAlive()))
+
+    def snapshot(self) -> list[RelayMessage]:
+        """Return what a new follower has to know; nothing where this one follows."""
+        kinds = self._kinds.values()
+        if self._followed is not None or self._knows_nothing:
+            return []
+        messages: list[RelayMessage] = []
+        for kind in kinds:
+            messages.append(kind.listing())
+            messages.append(RelayConfirmation(kind.kind, kind.version))
+        if not all(kind.in_contact for kind in kinds):
+            messages.append(RelayLoss("the store does not answer"))
+        return messages
+
+    def _publish(self, message: RelayMessage) -> None:
+        if self._followed is None:
+            self._relay.publish(message)
+
+    def _register(self) -> None:
+        self._platform.write(
+            Kind.DAEMON, self._own.name, self._spec, None, self._registered
+        )
+
+    @property
+    def _spec(self) -> dict[str, object]:
+        own = self._own
+        return {"zone": own.zone, "host": own.host, "port": own.port}
 
-    def _ask_zone_orders(self) -> None:
-        self._platform.list_all(Kind.ZONE_ORDER, self._zone_orders, may_be_stale=True)
+    def _registered(self, result: WriteResult) -> None:
+        match result:
+            case Written():
+                self._logger.info("registered", name=self._own.name)
+            case Conflicted():
+                # An earlier process of this VM has registered, maybe elsewhere.
+                self._platform.read(Kind.DAEMON, self._own.name, self._known)
+            case Failed(detail):
+                self._logger.warning("not_registered", reason=detail)
+                self._around.timers.call_later(LOOK_PERIOD_MS, self._register)
 
-    def _zone_orders(self, result: ListResult) -> None:
+    def _known(self, result: ReadResult) -> None:
+        match result:
+            case Found(stored) if stored.spec != self._spec:
+                self._platform.write(
+                    Kind.DAEMON,
+                    self._own.name,
+                    self._spec,
+                    stored.version,
+                    self._registered,
+                )
+            case Missing() | Failed():
+                self._around.timers.call_later(LOOK_PERIOD_MS, self._register)
+
+    def _first_look(self) -> None:
+        self._platform.list_all(Kind.DAEMON, self._looked)
+
+    def _look(self) -> None:
+        self._platform.list_all(Kind.DAEMON, self._looked, may_be_stale=True)
+
+    def _looked(self, result: ListResult) -> None:
         match result:
             case Listed(objects, _):
-                closed = frozenset(stored.name for stored in objects)
-                if closed != self._closed_zones:
-                    self._logger.info("zones_closed", zones=",".join(sorted(closed)))
-                self._closed_zones = closed
-                self._around.directory.close_zones(closed)
+                found = (_address(stored) for stored in objects)
+                self._daemons = tuple(daemon for daemon in found if daemon is not None)
+                self._around.daemons = max(1, len(self._daemons))
+                self._untried = relay_order(self._daemons, self._own)
+                period_ms = LOOK_PERIOD_MS
             case Failed(detail):
-                self._logger.warning("zone_orders_unknown", reason=detail)
+                self._logger.warning("daemons_unknown", reason=detail)
+                self._untried = list(self._seeds) if self._knows_nothing else []
+                period_ms = FAILED_LOOK_MS
+        timers = self._around.timers
+        delay_ms = period_ms * (1.0 + 0.2 * self._random.random())
+        timers.call_later(delay_ms, self._look)
+        if self._followed is None:
+            wait_ms = FOLLOW_DELAY_MS if self._untried else 0.0
+            timers.call_later(wait_ms, self._try_next)
+
+    @property
+    def _knows_nothing(self) -> bool:
+        return any(kind.version == 0 for kind in self._kinds.values())
+
+    def _follow_next(self) -> None:
+        if not self._untried:
+            self._follow_store()
+            return
+        daemon = self._untried.pop(0)
+        self._relay.follow(
+            daemon,
+            lambda message: self._heard(daemon, message),
+            lambda: self._ended(daemon),
+        )
+
+    def _follow_store(self) -> None:
+        for kind in self._kinds.values():
+            kind.follow_store()
+
+    def _heard(self, daemon: DaemonAddress, message: RelayMessage) -> None:
+        match message:
+            case RelayListing(kind, version, _) if self._kinds[kind].is_past(version):
+                self._logger.info("relay_behind", daemon_followed=daemon.name)
+                self._relay.unfollow()
+                self._try_again_later()
+            case RelayListing(kind):
+                self._start_following(daemon)
+                self._kinds[kind].take(message)
+            case RelayChange(stored):
+                self._kinds[stored.kind].take(message)
+            case RelayRemoval(kind, _) | RelayConfirmation(kind, _):
+                self._kinds[kind].take(message)
+            case RelayLoss():
+                self._relay.unfollow()
+                self._ended(daemon)
+            case RelayAlive():
+                pass
+
+    def _start_following(self, daemon: DaemonAddress) -> None:
+        if self._followed == daemon:
+            return
+        self._logger.info("relay_followed", daemon_followed=daemon.name)
+        self._relay.publish(RelayLoss("follows another daemon"))
+        self._followed = daemon
+        for kind in self._kinds.values():
+            kind.follow_relay()
+
+    def _ended(self, daemon: DaemonAddress) -> None:
+        if self._followed is not None:
+            self._logger.warning("relay_lost", daemon_followed=daemon.name)
+            self._followed = None
+            self._follow_store()
+        self._around.timers.call_later(NEXT_TRY_MS, self._try_next)
+
+    def _try_again_later(self) -> None:
+        def again() -> None:
+            self._untried = relay_order(self._daemons, self._own)
+            self._try_next()
+
+        self._around.timers.call_later(CATCH_UP_MS, again)
+
+    def _try_next(self) -> None:
+        if self._followed is None:
+            self._follow_next()
+
+
+def _address(stored: StoredObject) -> DaemonAddress | None:
+    zone, host, port = (stored.spec.get(key) for key in ("zone", "host", "port"))
+    if isinstance(zone, str) and isinstance(host, str) and isinstance(port, int):
+        return DaemonAddress(stored.name, zone, host, port)
+    return None
 
 
-__all__ = ["ConfigurationSubscriber", "Documents", "LeafSubscriber", "StoreFeed"]
+__all__ = ["StoreFeed"]
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -14,7 +14,7 @@
 from snipemount.decisions.extra_sends import ExtraSendBound, ExtraSends
 from snipemount.errors import DecodeError
 from snipemount.ports.platform import Kind, StoredObject
-from snipemount.serving.store_feed import LeafSubscriber
+from snipemount.serving.store_subscribers import LeafSubscriber
 
 WINDOW_MS = 10_000.0
 
