Store feed: eight scenarios in virtual time, a relay stand-in that goes through the codec

Killed, frozen and turned-away daemons, lost history, an outage, drains, closed zones and a start while the store is away.

--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -9,7 +9,7 @@
 from ..decisions.server_owner import NotConnected
 from ..ports.backend import BackendPort
 from ..ports.peer import PeerPort
-from ..ports.platform import Expired, Failed, Kind, PlatformPort, Watch
+from ..ports.platform import Expired, Failed, Kind, PlatformPort, Unchanged, Watch
 from ..timers import Timer, TimerService
 
 if TYPE_CHECKING:
@@ -363,6 +363,8 @@
                 self._timers.call_soon(lambda: on_event(Failed("watch broken")))
                 return
             self._timers.call_later(PLATFORM_MS, lambda: on_event(entry))
+            confirmed = Unchanged(self._store.version)
+            self._timers.call_later(PLATFORM_MS, lambda: on_event(confirmed))
 
         missed = self._store.changes_since(kind, version)
         number = self._store.subscribe(kind, forward)
--- a/src/snipemount/standins/object_store.py
+++ b/src/snipemount/standins/object_store.py
@@ -105,6 +105,11 @@
         self._publish(Deleted(kind, name, self._version))
         return True
 
+    @property
+    def watchers(self) -> int:
+        """Watches that wait."""
+        return len(self._watchers)
+
     @property
     def version(self) -> int:
         """Version of the last change."""
--- /dev/null
+++ b/tests/steps/feed_steps.py
@@ -0,0 +1,192 @@
+"""Steps on the store's feed of several daemons, in virtual time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+import structlog
+from behave import given, then, when
+from serving_world import ServingWorld, make_configuration, make_leaf
+
+from snipemount.errors import DecodeError
+from snipemount.experiments.fakes import FakePlatform, PlatformFaults
+from snipemount.ports.platform import Kind
+from snipemount.ports.relay import DaemonAddress
+from snipemount.serving.store_feed import StoreFeed
+from snipemount.standins.local_relay import LocalRelays
+from snipemount.standins.object_store import ObjectStore
+
+LEAFS = ("leaf-0", "leaf-1", "leaf-2")
+
+
+class PlainDocuments:
+    """Stored specs in plain fields."""
+
+    def configuration(self, stored):
+        """Return a configuration of the stored version."""
+        return make_configuration(stored.spec["version"])
+
+    def leaf(self, stored):
+        """Return a leaf of the service `ledger`."""
+        if "zone" not in stored.spec:
+            raise DecodeError(stored.name)
+        return make_leaf(
+            stored.name,
+            "ledger",
+            stored.spec["zone"],
+            draining=stored.spec["draining"],
+        )
+
+
+@attrs.define
+class FedDaemon:
+    """One daemon's feed."""
+
+    address: DaemonAddress
+    world: ServingWorld
+    platform: FakePlatform
+    relay: object
+    feed: StoreFeed
+
+
+def add_daemon(context, number, zone, seeds=(), first_start=True):
+    """Start a daemon."""
+    world = ServingWorld(zone=zone, timers=context.timers)
+    address = DaemonAddress(f"daemon-{number}", zone, f"10.0.0.{number}", 1)
+    platform = FakePlatform(context.store, context.timers, context.faults)
+    held = []
+    relay = context.relays.add(address.host, lambda: held[0].snapshot())
+    logger = structlog.wrap_logger(None, processors=[drop])
+    feed = StoreFeed(
+        platform,
+        relay,
+        world.gateway,
+        world.around,
+        PlainDocuments(),
+        address,
+        tuple(seeds),
+        Random(number),
+        logger,
+    )
+    held.append(feed)
+    feed.start(first_start)
+    daemon = FedDaemon(address, world, platform, relay, feed)
+    context.fed.append(daemon)
+    return daemon
+
+
+def drop(logger, method, event):
+    """Write nothing."""
+    raise structlog.DropEvent
+
+
+@given("{count:d} daemons in {zones:d} zones, fed by one store")
+def step_fed(context, count, zones):
+    world = ServingWorld()
+    context.timers = world.timers
+    context.store = ObjectStore()
+    context.faults = PlatformFaults()
+    context.relays = LocalRelays(context.timers)
+    context.store.put(Kind.CONFIGURATION, "main", {"version": 1})
+    for number, name in enumerate(LEAFS):
+        zone = f"zone-{'ab'[number % 2]}"
+        context.store.put(Kind.LEAF, name, {"zone": zone, "draining": False})
+    context.fed = []
+    for number in range(count):
+        add_daemon(context, number, f"zone-{'abc'[number % zones]}")
+
+
+@when("{span_s:g} s pass for them")
+def step_pass(context, span_s):
+    context.timers.run_until(context.timers.now_ms() + span_s * 1000.0)
+
+
+@when("the operators write version {version:d}")
+def step_write(context, version):
+    context.store.put(Kind.CONFIGURATION, "main", {"version": version})
+
+
+@when("the first daemon of zone-a is killed")
+def step_kill(context):
+    context.fed[0].relay.kill()
+    context.fed[0].platform.cut_off = True
+
+
+@when("the first daemon of zone-a freezes")
+def step_freeze(context):
+    context.fed[0].relay.frozen = True
+    context.fed[0].platform.cut_off = True
+
+
+@when("the store turns the first daemon of zone-a away")
+def step_turn_away(context):
+    context.fed[0].platform.cut_off = True
+
+
+@when("the store goes away")
+def step_store_down(context):
+    context.faults.down = True
+    # A watch that waits notices with the next change.
+    context.store.put(Kind.CONFIGURATION, "other", {"version": 1})
+    context.store.put(Kind.LEAF, "leaf-9", {"zone": "zone-a", "draining": True})
+
+
+@when("the store answers again")
+def step_store_up(context):
+    context.faults.down = False
+
+
+@when("the store forgets its history")
+def step_compact(context):
+    context.store.compact()
+
+
+@when("the entry of {name} says that it drains")
+def step_entry_drains(context, name):
+    context.store.put(Kind.LEAF, name, {"zone": "zone-b", "draining": True})
+
+
+@when("the operators close {zone}")
+def step_close(context, zone):
+    context.store.put(Kind.ZONE_ORDER, zone, {})
+
+
+@when("a daemon starts in {zone} with a seed")
+def step_start_with_seed(context, zone):
+    seed = attrs.evolve(context.fed[0].address, name="seed", zone="")
+    add_daemon(context, 9, zone, [seed], first_start=False)
+
+
+def versions(daemons):
+    """Return the versions in force."""
+    return [daemon.world.gateway.version for daemon in daemons]
+
+
+@then("all daemons have version {version:d} in force")
+def step_all_version(context, version):
+    assert versions(context.fed) == [version] * len(context.fed), versions(context.fed)
+
+
+@then("all daemons but the first have version {version:d} in force")
+def step_others_version(context, version):
+    others = context.fed[1:]
+    assert versions(others) == [version] * len(others), versions(others)
+
+
+@then("the new daemon has version {version:d} in force")
+def step_new_version(context, version):
+    assert context.fed[-1].world.gateway.version == version
+
+
+@then("{count:d} watches wait at the store")
+def step_watches(context, count):
+    assert context.store.watchers == count, context.store.watchers
+
+
+@then("no daemon would ask {name}")
+def step_not_asked(context, name):
+    for daemon in context.fed:
+        states = daemon.world.directory.service_states("ledger")
+        assert states, "nothing is known"
+        assert all(state.leaf.leaf_id != name for state in states)
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -107,10 +107,15 @@
 class ServingWorld:
     """A gateway with two leafs a shard and four of a ledger."""
 
-    def __init__(self, slack: float = 50.0, zone: str = "zone-a") -> None:
+    def __init__(
+        self,
+        slack: float = 50.0,
+        zone: str = "zone-a",
+        timers: VirtualTimers | None = None,
+    ) -> None:
         self.lines: list[dict] = []
         logger = structlog.wrap_logger(None, processors=[self._capture])
-        self.timers = VirtualTimers()
+        self.timers = timers or VirtualTimers()
         self.leafs = ScriptedLeafs(self.timers)
         self.directory = LeafDirectory()
         self.around = Surroundings(
