--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -242,6 +242,7 @@
             case RelayListing(kind, version, _) if self._kinds[kind].is_past(version):
                 self._logger.info("relay_behind", daemon_followed=daemon.name)
                 self._relay.unfollow()
+                self._return_to_store(daemon)
                 self._try_again_later()
             case RelayListing(kind):
                 self._start_following(daemon)
@@ -265,11 +266,14 @@
         for kind in self._kinds.values():
             kind.follow_relay()
 
-    def _ended(self, daemon: DaemonAddress) -> None:
+    def _return_to_store(self, daemon: DaemonAddress) -> None:
         if self._followed is not None:
             self._logger.warning("relay_lost", daemon_followed=daemon.name)
             self._followed = None
             self._follow_store()
+
+    def _ended(self, daemon: DaemonAddress) -> None:
+        self._return_to_store(daemon)
         self._around.timers.call_later(NEXT_TRY_MS, self._try_next)
 
     def _try_again_later(self) -> None:
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -65,3 +65,14 @@
     And a daemon starts in zone-b with a seed
     And 4 s pass for them
     Then the new daemon has version 1 in force
+
+  Scenario: A daemon that knows more than the one it would follow keeps to the store
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And a daemon starts in zone-b beside them
+    And 0.3 s pass for them
+    And the operators write version 7
+    And 5 s pass for them
+    And the operators write version 8
+    And 0.1 s pass for them
+    Then all daemons have version 8 in force
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -190,3 +190,8 @@
         states = daemon.world.directory.service_states("ledger")
         assert states, "nothing is known"
         assert all(state.leaf.leaf_id != name for state in states)
+
+
+@when("a daemon starts in {zone} beside them")
+def step_start_alone(context, zone):
+    add_daemon(context, 9, zone, first_start=False)
