--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -136,6 +136,9 @@
                 while True:
                     async with asyncio.timeout(SILENCE_S):
                         frame = await connection.recv(decode=False)
+                    if self._following is not asyncio.current_task():
+                        # Frames that wait are read on after the cancellation.
+                        return
                     on_message(decode_relay(frame))
         except (OSError, TimeoutError, InvalidHandshake, ConnectionClosed) as error:
             self._logger.info(
@@ -145,7 +148,8 @@
             self._logger.warning(
                 "relay_malformed", daemon_followed=daemon.name, reason=error.detail
             )
-        on_end()
+        if self._following is asyncio.current_task():
+            on_end()
 
 
 __all__ = ["WebsocketRelay"]
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -29,6 +29,7 @@
 T = TypeVar("T")
 PLATFORM_MS = 2.0
 PLATFORM_TIMEOUT_MS = 1000.0
+CONFIRMATION_MS = 3000.0
 SAME_ZONE_MS = 0.25
 
 
@@ -359,6 +360,7 @@
 
         def forward(entry: LogEntry) -> None:
             if self._down:
+                series.cancel()
                 self._store.unsubscribe(number)
                 self._timers.call_soon(lambda: on_event(Failed("watch broken")))
                 return
@@ -366,6 +368,10 @@
             confirmed = Unchanged(self._store.version)
             self._timers.call_later(PLATFORM_MS, lambda: on_event(confirmed))
 
+        def confirm() -> None:
+            if not self._down:
+                on_event(Unchanged(self._store.version))
+
         missed = self._store.changes_since(kind, version)
         number = self._store.subscribe(kind, forward)
         if missed is None or self._down:
@@ -373,9 +379,15 @@
             event = Failed("platform is down") if self._down else Expired()
             self._timers.call_later(PLATFORM_MS, lambda: on_event(event))
             return Watch(lambda: None)
+        series = self._timers.call_every(CONFIRMATION_MS, confirm)
         for entry in missed:
             forward(entry)
-        return Watch(lambda: self._store.unsubscribe(number))
+
+        def stop() -> None:
+            series.cancel()
+            self._store.unsubscribe(number)
+
+        return Watch(stop)
 
     def _call(self, act: Callable[[], T], done: Callable[[T | Failed], None]) -> None:
         delay_ms = PLATFORM_MS / 2 + self._faults.slow_ms
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -49,6 +49,7 @@
 FAILED_LOOK_MS = 2000.0
 FOLLOW_DELAY_MS = 500.0  # so that the daemon to follow has listed the store
 NEXT_TRY_MS = 300.0
+UNCONFIRMED_MS = 4200.0  # longer than a watch that nothing ends
 CATCH_UP_MS = 3500.0  # a daemon that follows the store has asked it again by then
 
 
@@ -123,6 +124,7 @@
         }
         self._daemons: tuple[DaemonAddress, ...] = ()
         self._followed: DaemonAddress | None = None
+        self._confirmed_ms = 0.0
         self._untried: list[DaemonAddress] = []
 
     def start(self, first_start: bool) -> None:
@@ -140,6 +142,7 @@
         if not first_start:
             self._follow_store()
         timers.call_every(HOUSEKEEPING_MS, self._leafs.settle_doubts)
+        timers.call_every(HOUSEKEEPING_MS, self._check_followed)
         timers.call_every(ALIVE_PERIOD_MS, lambda: self._publish(RelayAlive()))
 
     def snapshot(self) -> list[RelayMessage]:
@@ -233,6 +236,15 @@
             lambda: self._ended(daemon),
         )
 
+    def _check_followed(self) -> None:
+        """Leave a daemon that lives but confirms nothing any more."""
+        daemon = self._followed
+        now_ms = self._around.timers.now_ms()
+        if daemon is None or now_ms - self._confirmed_ms < UNCONFIRMED_MS:
+            return
+        self._relay.unfollow()
+        self._ended(daemon)
+
     def _follow_store(self) -> None:
         for kind in self._kinds.values():
             kind.follow_store()
@@ -249,7 +261,11 @@
                 self._kinds[kind].take(message)
             case RelayChange(stored):
                 self._kinds[stored.kind].take(message)
-            case RelayRemoval(kind, _) | RelayConfirmation(kind, _):
+            case RelayRemoval(kind, _):
+                self._kinds[kind].take(message)
+            case RelayConfirmation(kind, _):
+                if kind is not Kind.ZONE_ORDER:
+                    self._confirmed_ms = self._around.timers.now_ms()
                 self._kinds[kind].take(message)
             case RelayLoss():
                 self._relay.unfollow()
@@ -263,6 +279,7 @@
         self._logger.info("relay_followed", daemon_followed=daemon.name)
         self._relay.publish(RelayLoss("follows another daemon"))
         self._followed = daemon
+        self._confirmed_ms = self._around.timers.now_ms()
         for kind in self._kinds.values():
             kind.follow_relay()
 
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -76,3 +76,11 @@
     And the operators write version 8
     And 0.1 s pass for them
     Then all daemons have version 8 in force
+
+  Scenario: The daemon that is followed lives but confirms nothing any more
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the first daemon of zone-a hears nothing from the store and notices nothing
+    And the operators write version 7
+    And 5 s pass for them
+    Then all daemons but the first have version 7 in force
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -195,3 +195,9 @@
 @when("a daemon starts in {zone} beside them")
 def step_start_alone(context, zone):
     add_daemon(context, 9, zone, first_start=False)
+
+
+@when("the first daemon of zone-a hears nothing from the store and notices nothing")
+def step_deaf(context):
+    for kind in context.fed[0].feed._kinds.values():
+        kind._epoch += 1
