Metrics: counters, latency histograms and states as text on the metrics address

Cause: the on-call engineers had logs only. By prometheus_client: requests by route and result, sends by zone and result, second sends by cause and grant, store calls, states.

--- a/src/snipemount/daemon.py
+++ b/src/snipemount/daemon.py
@@ -22,6 +22,7 @@
 from .node.admin_queries import AdminQueries
 from .node.node import Node, Ports
 from .platform.store_client import StoreClient
+from .ports.measures import NoMeasures
 from .timers import LoopTimers
 from .tls import TlsKeys
 
@@ -54,7 +55,7 @@
             member, self._timers, self.logger, self._received, self._lost
         )
         self._backend = HttpBackend()
-        self._platform = StoreClient(settings.platform)
+        self._platform = StoreClient(settings.platform, NoMeasures())
         ports = Ports(self._backend, self._peers, self._platform, self._timers)
         seeds = tuple(
             Member(f"seed:{s.host}:{s.mesh_port}", "", s.host, s.mesh_port)
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from .adapters.relay_websocket import WebsocketRelay
+from .adapters.text_measures import TextMeasures
 from .bounded_writer import BoundedWriter
 from .decisions.extra_sends import ExtraSendBound
 from .decisions.leaf_choice import LeafChoice
@@ -36,6 +37,8 @@
     from .model.relay import RelayMessage
     from .platform.node_file import NodeSettings
 
+METRICS_PORT = 9464  # as in deploy/system.toml
+METRICS_PATH = "/metrics"
 LOG_FLUSH_MS = 200.0
 PROBE_CHECK_MS = 100.0
 CONNECTION_SHARE = 0.95
@@ -61,6 +64,7 @@
         self._random = Random()
         self._log_writer = BoundedWriter(sys.stdout.fileno())
         self.logger = make_logger("info", settings.name, self._log_writer)
+        self._measures = TextMeasures()
         bounds = settings.bounds
         self._leafs = LeafClient(self._timers, self._connection_limit)
         self._around = Surroundings(
@@ -75,10 +79,13 @@
             ),
             ZoneReach(settings.zone),
             self.logger,
+            self._measures,
         )
-        self.gateway = Gateway(self._around, RequestLog(self.logger))
+        self.gateway = Gateway(self._around, RequestLog(self.logger, self._measures))
         store = settings.store
-        self._store = StoreClient(PlatformSettings(f"http://{store.host}:{store.port}"))
+        self._store = StoreClient(
+            PlatformSettings(f"http://{store.host}:{store.port}"), self._measures
+        )
         peers = settings.peers
         self._relay = WebsocketRelay(
             peers.host, peers.port, self._relay_snapshot, self.logger
@@ -95,6 +102,7 @@
             self.logger,
         )
         self._callers = CallerServer(self.gateway)
+        self._show_states()
         self._stopping = asyncio.Event()
 
     @property
@@ -114,6 +122,8 @@
         await self._loop.create_server(
             readiness, own.readiness.host, own.readiness.port
         )
+        figures = web.Server(self._figures, access_log=None)
+        await self._loop.create_server(figures, own.readiness.host, METRICS_PORT)
         listener = await self._loop.create_server(
             self._callers, own.callers.host, own.callers.port, backlog=1024
         )
@@ -131,6 +141,27 @@
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
+    async def _figures(self, request: web.BaseRequest) -> web.Response:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(body=self._measures.text(), content_type="text/plain")
+
+    def _show_states(self) -> None:
+        show = self._measures.state
+        gateway = self.gateway
+        around = self._around
+        show("configuration_version", "In force.", lambda: gateway.version)
+        show("leafs_known", "Leafs in the directory.", lambda: len(around.directory))
+        show("daemons_known", "Daemons registered.", lambda: around.daemons)
+        show(
+            "zones_cut_off",
+            "Zones taken as cut off.",
+            lambda: len(around.reach.cut_off_zones()),
+        )
+        show("ready", "Whether callers may be sent.", lambda: float(self.ready))
+        show("in_flight", "Requests under way.", lambda: self._callers.in_flight)
+        show("connections_opened", "To leafs.", lambda: self._leafs.opened)
+
     def _flush_log(self) -> None:
         self._log_writer.flush()
         dropped = self._log_writer.take_dropped()
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from ..ports.measures import Measures
     from ..ports.platform import ListResult, ReadResult, WatchEvent, WriteResult
     from ..settings import PlatformSettings
 
@@ -99,9 +100,12 @@
     ----------
     settings : PlatformSettings
         Base URL and time limit of a call.
+    measures : Measures
+        Counts the calls.
     """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, measures: Measures) -> None:
+        self._measures = measures
         self._base = settings.url.rstrip("/") + OBJECTS_PATH
         seconds = settings.call_timeout_ms / MS_PER_S
         self._timeout = aiohttp.ClientTimeout(total=seconds)
@@ -195,10 +199,14 @@
             result = Failed(f"malformed reply: {error}")
         done(result)
 
+    def _count(self, call: str, response: aiohttp.ClientResponse) -> None:
+        self._measures.store_call(call, str(response.status))
+
     async def _read(self, kind: Kind, name: str) -> ReadResult:
         async with self._client().get(
             self._url(kind, name), timeout=self._timeout
         ) as response:
+            self._count("read", response)
             if response.status == 404:
                 return Missing()
             if response.status != 200:
@@ -214,6 +222,7 @@
             async with self._client().get(
                 url, params=query, timeout=self._timeout
             ) as response:
+                self._count("list", response)
                 if response.status != 200:
                     return Failed(f"status {response.status}")
                 document = await response.json()
@@ -241,6 +250,7 @@
         async with self._client().request(
             method, url, json=body, timeout=self._timeout
         ) as response:
+            self._count("write", response)
             if response.status in (404, 409):
                 return Conflicted()
             if response.status not in (200, 201):
@@ -257,6 +267,7 @@
             try:
                 found = await self._poll(kind, url, query)
             except CALL_ERRORS as error:
+                self._measures.store_call("watch", type(error).__name__)
                 end = Failed(type(error).__name__)
             except DECODE_ERRORS as error:
                 end = Failed(f"malformed event: {error}")
@@ -272,6 +283,7 @@
         async with self._client().get(
             url, params=query, timeout=self._watch_timeout
         ) as response:
+            self._count("watch", response)
             if response.status == 410:
                 return Expired()
             if response.status != 200:
--- a/src/snipemount/serving/request_log.py
+++ b/src/snipemount/serving/request_log.py
@@ -6,14 +6,16 @@
 
 import attrs
 
-from ..model.forwarding import Failed, Merged, Passed, Refused
+from ..model.forwarding import Failed, Merged, Passed, Refused, UnknownRoute
 
 if TYPE_CHECKING:
     from structlog.typing import FilteringBoundLogger
 
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest, Outcome
+    from ..ports.measures import Measures
 
+COMPLETE = "complete"
 LINES_PER_S = 40.0
 MOST_BURST = 200.0
 MOST_SHARDS_NAMED = 8
@@ -37,16 +39,19 @@
 
 
 class RequestLog:
-    """Writes the outcomes that a caller may complain about.
+    """Counts all outcomes and writes those that a caller may complain about.
 
     Parameters
     ----------
     logger : FilteringBoundLogger
-        Where to.
+        Where the lines go.
+    measures : Measures
+        Where the counts go.
     """
 
-    def __init__(self, logger: FilteringBoundLogger) -> None:
+    def __init__(self, logger: FilteringBoundLogger, measures: Measures) -> None:
         self._logger = logger
+        self._measures = measures
         self._tokens = MOST_BURST
         self._filled_ms = 0.0
         self._dropped = 0
@@ -61,25 +66,17 @@
         elapsed_ms: float,
         now_ms: float,
     ) -> None:
-        """Log an outcome unless it is a full answer."""
-        match outcome:
-            case Passed() | Merged(missing=0):
-                return
-            case Merged(missing=missing):
-                result = f"partial:{missing}"
-            case Refused(reason):
-                result = f"refused:{reason.value}"
-            case Failed(failure):
-                result = f"failed:{failure.value}"
-            case _:
-                result = "unknown_route"
-        if not self._may_write(now_ms):
+        """Count an outcome, and log it unless it is a full answer."""
+        result = describe(outcome)
+        name = "" if route is None else route.name
+        self._measures.request(name, result.partition(":")[0], elapsed_ms)
+        if result == COMPLETE or not self._may_write(now_ms):
             return
         named = unanswered[:MOST_SHARDS_NAMED]
         self._logger.info(
             "request_ended",
             request=request.request_id,
-            route="" if route is None else route.name,
+            route=name,
             result=result,
             configuration=version,
             elapsed_ms=round(elapsed_ms, 1),
@@ -101,4 +98,19 @@
         return True
 
 
-__all__ = ["RequestLog", "Unanswered"]
+def describe(outcome: Outcome) -> str:
+    """Return an outcome in a word, and its detail behind a colon."""
+    match outcome:
+        case Passed() | Merged(missing=0):
+            return COMPLETE
+        case Merged(missing=missing):
+            return f"partial:{missing}"
+        case Refused(reason):
+            return f"refused:{reason.value}"
+        case Failed(failure):
+            return f"failed:{failure.value}"
+        case UnknownRoute():
+            return "unknown_route"
+
+
+__all__ = ["RequestLog", "Unanswered", "describe"]
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -112,7 +112,7 @@
             return False
         if self._runs >= self._route.max_attempts or not self._has_other_leaf():
             return False
-        return self._spend(HEDGE_SHARE) and self._send_next()
+        return self._spend("late", HEDGE_SHARE) and self._send_next()
 
     def note_silence(self) -> None:
         """Take sends that wait much longer than usual as silence of their leafs."""
@@ -147,12 +147,14 @@
             for state in states
         )
 
-    def _spend(self, share: float = 1.0) -> bool:
+    def _spend(self, cause: str, share: float = 1.0) -> bool:
         if self._arrivals == 0:
             return True
         budget = self._around.budget(self.service)
         now_ms = self._around.timers.now_ms()
-        return budget.take(self._around.daemons, now_ms, share)
+        granted = budget.take(self._around.daemons, now_ms, share)
+        self._around.measures.second_send(cause, granted)
+        return granted
 
     def _send_next(self) -> bool:
         now_ms = self._around.timers.now_ms()
@@ -203,6 +205,7 @@
             case Lost(lost):
                 result = lost.value
         took_ms = now_ms - leg.sent_ms
+        self._around.measures.leg(leg.state.leaf.zone, result, took_ms)
         self._trace.append(f"{leg.state.leaf.leaf_id}:{result}:{took_ms:.0f}ms")
 
     def _answered(self, leg: Leg, answer: LeafAnswer, now_ms: float) -> None:
@@ -239,7 +242,11 @@
     def _try_again(self) -> None:
         if self.settled or self._legs:
             return
-        if not self._may_send_again() or not self._spend() or not self._send_next():
+        if (
+            not self._may_send_again()
+            or not self._spend("failed")
+            or not self._send_next()
+        ):
             self._settle()
 
     def _may_send_again(self) -> bool:
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -20,6 +20,7 @@
     from ..model.configuration import Route, ToAllShards
     from ..model.leaf import Leaf
     from ..ports.leaf import LeafPort
+    from ..ports.measures import Measures
     from ..timers import TimerService
 
 
@@ -43,6 +44,8 @@
         Which zones are reached.
     logger : FilteringBoundLogger
         Logger.
+    measures : Measures
+        Figures.
     daemons : int
         Daemons that share the bounds.
     """
@@ -54,6 +57,7 @@
     bound: ExtraSendBound
     reach: ZoneReach
     logger: FilteringBoundLogger
+    measures: Measures
     daemons: int = 8
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraSends] = attrs.field(factory=dict)
--- a/tests/serving/queries.feature
+++ b/tests/serving/queries.feature
@@ -93,3 +93,10 @@
     And a query is asked
     And 2000 ms pass
     Then shard 3 got the query at most 2 times
+
+  Scenario: The figures tell requests, sends and second sends
+    Given a serving path with two leafs a shard
+    When the leafs of zone-a answer with failures
+    And a query is asked
+    And 200 ms pass
+    Then the figures name 1 complete request on "find", failed sends and second sends
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -422,3 +422,12 @@
     legs = len(context.serving.samples) * len(SHARDS)
     extra = len(context.serving.leafs.arrivals) - legs
     assert extra <= legs * percent / 100, (extra, legs)
+
+
+@then('the figures name 1 complete request on "find", failed sends and second sends')
+def step_figures(context):
+    text = context.serving.measures.text().decode()
+    assert 'snipemount_requests_total{result="complete",route="find"} 1.0' in text
+    assert 'snipemount_legs_total{result="500",zone="zone-a"} 20.0' in text
+    assert 'snipemount_legs_total{result="200",zone="zone-b"} 20.0' in text
+    assert 'snipemount_second_sends_total{cause="failed",granted="yes"} 20.0' in text
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -7,6 +7,7 @@
 import attrs
 import structlog
 
+from snipemount.adapters.text_measures import TextMeasures
 from snipemount.decisions.extra_sends import ExtraSendBound
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_directory import LeafDirectory
@@ -113,6 +114,7 @@
         zone: str = "zone-a",
         timers: VirtualTimers | None = None,
     ) -> None:
+        self.measures = TextMeasures()
         self.lines: list[dict] = []
         logger = structlog.wrap_logger(None, processors=[self._capture])
         self.timers = timers or VirtualTimers()
@@ -126,10 +128,11 @@
             ExtraSendBound(0.2, slack, 10_000.0),
             ZoneReach(zone),
             logger,
+            self.measures,
             1,
         )
         self.timers.call_every(100.0, self.around.probe_zones)
-        self.gateway = Gateway(self.around, RequestLog(logger))
+        self.gateway = Gateway(self.around, RequestLog(logger, self.measures))
         self.samples: list[Sample] = []
 
     def _capture(self, logger, method, event):
