Cold leafs: shares of the stated bound; ordered versions are held back

Cause: two rules had nothing that kept them on deployments where operators state a load for cold leafs, or order a version move. A daemon sends its part of the bound within any second (equal parts, or by rendezvous hashing where the bound is smaller than the number of daemons); a version under an order gets nothing while others have leafs. A move is therefore never completed yet: that costs its duty, and breaks no bound.

--- a/src/snipemount/decisions/leaf_choice.py
+++ b/src/snipemount/decisions/leaf_choice.py
@@ -56,7 +56,7 @@
         """Return the expected wait, in multiples of a usual answer."""
         ahead = state.load(now_ms) / state.leaf.slots
         cost = state.slowness(now_ms) * (1.0 + ahead)
-        if now_ms < state.cold_until_ms:
+        if state.is_cold(now_ms):
             cost *= COLD_FACTOR
         stuck = state.oldest_ms(now_ms) / expected_ms
         if stuck > STUCK_RATIO:
--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -30,6 +30,7 @@
         self._services: defaultdict[str, dict[str, LeafState]] = defaultdict(dict)
         self._doubted: set[str] = set()
         self._closed_zones: frozenset[str] = frozenset()
+        self._held_versions: dict[str, str] = {}
         self._in_contact = False
         self._grace_until_ms = -math.inf
 
@@ -46,11 +47,20 @@
 
     def service_states(self, service: str) -> list[LeafState]:
         """Return the leafs of a service that may get new work."""
-        return [
+        states = [
             state
             for state in self._services[service].values()
             if not state.leaf.draining and state.leaf.zone not in self._closed_zones
         ]
+        held = self._held_versions.get(service)
+        if held is None:
+            return states
+        old = [state for state in states if state.leaf.version != held]
+        return old or states
+
+    def hold_versions(self, held: dict[str, str]) -> None:
+        """Keep these versions of services unused while others have leafs."""
+        self._held_versions = held
 
     def close_zones(self, zones: frozenset[str]) -> None:
         """Send nothing more to the leafs of these zones."""
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -6,6 +6,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from .cold_limit import ColdSends
+
 if TYPE_CHECKING:
     from ..model.forwarding import LoadReport
     from ..model.leaf import Leaf
@@ -50,6 +52,7 @@
         self.paused_until_ms = -math.inf
         self.lost_in_a_row = 0
         self.cold_until_ms = now_ms + leaf.cold_ms
+        self.cold_sends = ColdSends()
 
     @property
     def in_flight(self) -> int:
@@ -64,6 +67,8 @@
     def sent(self, now_ms: float) -> int:
         """Note a send and return its number."""
         number = next(self._next_send)
+        if self.is_cold(now_ms):
+            self.cold_sends.sent(now_ms)
         self._sends[number] = now_ms
         return number
 
@@ -137,6 +142,10 @@
             return 0.0
         return now_ms - next(iter(self._sends.values()))
 
+    def is_cold(self, now_ms: float) -> bool:
+        """Return whether the leaf has started a short while ago."""
+        return now_ms < self.cold_until_ms
+
     def is_paused(self, now_ms: float) -> bool:
         """Return whether the leaf is left alone for now."""
         return now_ms < self.paused_until_ms
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -14,6 +14,7 @@
 from .adapters.relay_websocket import WebsocketRelay
 from .adapters.text_measures import TextMeasures
 from .bounded_writer import BoundedWriter
+from .decisions.cold_limit import ColdBound
 from .decisions.extra_sends import ExtraSendBound
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
@@ -80,6 +81,9 @@
             ZoneReach(settings.zone),
             self.logger,
             self._measures,
+            ColdBound(bounds.cold_ratio, bounds.cold_slack),
+            settings.name,
+            cold_requests_per_s=self._cold_requests_per_s,
         )
         self.gateway = Gateway(self._around, RequestLog(self.logger, self._measures))
         store = settings.store
@@ -183,6 +187,10 @@
         while self._callers.in_flight and self._timers.now_ms() < end_ms:
             await self._timers.sleep(STOP_POLL_MS)
 
+    def _cold_requests_per_s(self, service: str) -> float:
+        traits = self.gateway.traits(service)
+        return 0.0 if traits is None else traits.cold_requests_per_s
+
     async def _stop(self, listener: asyncio.AbstractServer) -> None:
         """Stop in good order: callers move away, then the last answers go out."""
         started_ms = self._timers.now_ms()
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -23,6 +23,7 @@
 
 MS_PER_S = 1000.0
 MAX_PORT = 65535
+MOVE_STATES = {"running": "running", "completed": "done", "rolled_back": "taken_back"}
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -171,7 +172,7 @@
             to_version=_text(spec, "target_version"),
             duration_ms=float(spec["duration_s"]) * MS_PER_S,
             revision=stored.created,
-            status=str(status.get("state") or ""),
+            status=MOVE_STATES.get(str(status.get("state") or ""), ""),
         )
     except MALFORMED as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -21,7 +21,12 @@
 from ..ports.platform import Conflicted, Failed, Found, Kind, Listed, Missing, Written
 from ..ports.relay import DaemonAddress
 from .followed_kind import FollowedKind
-from .store_subscribers import ConfigurationSubscriber, LeafSubscriber, ZoneSubscriber
+from .store_subscribers import (
+    ConfigurationSubscriber,
+    LeafSubscriber,
+    VersionSubscriber,
+    ZoneSubscriber,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -121,6 +126,15 @@
                 publish,
                 ORDERS_PERIOD_MS,
             ),
+            Kind.VERSION_ORDER: FollowedKind(
+                platform,
+                Kind.VERSION_ORDER,
+                VersionSubscriber(around, documents, logger),
+                timers,
+                random,
+                publish,
+                ORDERS_PERIOD_MS,
+            ),
         }
         self._daemons: tuple[DaemonAddress, ...] = ()
         self._followed: DaemonAddress | None = None
@@ -207,7 +221,8 @@
             case Listed(objects, _):
                 found = (_address(stored) for stored in objects)
                 self._daemons = tuple(daemon for daemon in found if daemon is not None)
-                self._around.daemons = max(1, len(self._daemons))
+                names = (daemon.name for daemon in self._daemons)
+                self._around.daemon_names = frozenset(names)
                 self._untried = relay_order(self._daemons, self._own)
                 period_ms = LOOK_PERIOD_MS
             case Failed(detail):
@@ -264,7 +279,7 @@
             case RelayRemoval(kind, _):
                 self._kinds[kind].take(message)
             case RelayConfirmation(kind, _):
-                if kind is not Kind.ZONE_ORDER:
+                if kind in (Kind.CONFIGURATION, Kind.LEAF):
                     self._confirmed_ms = self._around.timers.now_ms()
                 self._kinds[kind].take(message)
             case RelayLoss():
--- a/src/snipemount/serving/store_subscribers.py
+++ b/src/snipemount/serving/store_subscribers.py
@@ -17,6 +17,8 @@
     from .gateway import Gateway
     from .surroundings import Surroundings
 
+MOVE_DONE = "done"
+
 
 class Documents(Protocol):
     """Decoders of stored objects; each raises DecodeError."""
@@ -182,9 +184,70 @@
         self.around.directory.close_zones(frozenset(zones))
 
 
+@attrs.define(eq=False)
+class VersionSubscriber:
+    """Holds back the new versions that operators have ordered.
+
+    Until a move is judged, a new version gets no traffic while the old one has
+    leafs: that is the safe side of the bound on a bad version's share.
+    """
+
+    around: Surroundings
+    documents: Documents
+    logger: FilteringBoundLogger
+    orders: dict[str, VersionOrder] = attrs.field(factory=dict)
+
+    def listed(self, objects: tuple[StoredObject, ...]) -> None:
+        """Take all orders."""
+        self.orders.clear()
+        for stored in objects:
+            self._take(stored)
+        self._hold()
+
+    def changed(self, stored: StoredObject) -> None:
+        """Take one order."""
+        self._take(stored)
+        self._hold()
+
+    def removed(self, name: str) -> None:
+        """Drop an order."""
+        self.orders.pop(name, None)
+        self._hold()
+
+    def contact(self) -> None:
+        """Nothing to note: the leafs' feed tells of the store."""
+
+    def contact_lost(self, reason: str) -> None:
+        """Keep holding what is held."""
+
+    def _take(self, stored: StoredObject) -> None:
+        try:
+            order = self.documents.version_order(stored)
+        except DecodeError as error:
+            self.logger.warning("version_order_unreadable", reason=error.detail)
+            return
+        if self.orders.get(stored.name) != order:
+            self.logger.info(
+                "version_ordered",
+                service=order.service,
+                version=order.to_version,
+                status=order.status,
+            )
+        self.orders[stored.name] = order
+
+    def _hold(self) -> None:
+        held = {
+            order.service: order.to_version
+            for order in self.orders.values()
+            if order.status != MOVE_DONE
+        }
+        self.around.directory.hold_versions(held)
+
+
 __all__ = [
     "ConfigurationSubscriber",
     "Documents",
     "LeafSubscriber",
+    "VersionSubscriber",
     "ZoneSubscriber",
 ]
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -7,11 +7,15 @@
 import attrs
 
 from ..decisions.answer_timing import RouteTiming
+from ..decisions.cold_limit import share_of
 from ..decisions.extra_sends import ExtraSends
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from structlog.typing import FilteringBoundLogger
 
+    from ..decisions.cold_limit import ColdBound
     from ..decisions.extra_sends import ExtraSendBound
     from ..decisions.leaf_choice import LeafChoice
     from ..decisions.leaf_directory import LeafDirectory
@@ -24,6 +28,13 @@
     from ..timers import TimerService
 
 
+UNKNOWN_DAEMONS = 64  # before the register has been read: shares are small
+
+
+def _none_stated(service: str) -> float:
+    return 0.0
+
+
 @attrs.define(eq=False)
 class Surroundings:
     """State shared by all requests of a daemon.
@@ -46,8 +57,14 @@
         Logger.
     measures : Measures
         Figures.
-    daemons : int
+    cold_bound : ColdBound
+        Bound on a cold leaf's requests over all daemons.
+    own_name : str
+        Name of this daemon.
+    daemon_names : frozenset of str
         Daemons that share the bounds.
+    cold_requests_per_s : Callable
+        Gives the load that the operators state for a service's cold leafs.
     """
 
     timers: TimerService
@@ -58,7 +75,10 @@
     reach: ZoneReach
     logger: FilteringBoundLogger
     measures: Measures
-    daemons: int = 8
+    cold_bound: ColdBound
+    own_name: str
+    daemon_names: frozenset[str] = frozenset()
+    cold_requests_per_s: Callable[[str], float] = attrs.field(default=_none_stated)
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraSends] = attrs.field(factory=dict)
     started_ms: float = attrs.field(init=False)
@@ -66,6 +86,11 @@
     def __attrs_post_init__(self) -> None:
         self.started_ms = self.timers.now_ms()
 
+    @property
+    def daemons(self) -> int:
+        """How many daemons share the bounds."""
+        return len(self.daemon_names) or UNKNOWN_DAEMONS
+
     def timing(self, route: Route) -> RouteTiming:
         """Return the latencies of a route."""
         found = self.timings.get(route.name)
@@ -76,9 +101,20 @@
     def candidates(self, service: str) -> list[LeafState]:
         """Return the leafs of a service that may be asked and can be reached."""
         states = self.directory.service_states(service)
-        if not self.reach.cut_off_zones():
+        if self.reach.cut_off_zones():
+            states = [s for s in states if not self.reach.is_cut_off(s.leaf.zone)]
+        stated_per_s = self.cold_requests_per_s(service)
+        if stated_per_s <= 0.0:
             return states
-        return [s for s in states if not self.reach.is_cut_off(s.leaf.zone)]
+        bound = self.cold_bound.requests_per_s(stated_per_s)
+        return [s for s in states if self._bears_more(s, bound)]
+
+    def _bears_more(self, state: LeafState, bound: int) -> bool:
+        now_ms = self.timers.now_ms()
+        if not state.is_cold(now_ms):
+            return True
+        share = share_of(bound, state.leaf.leaf_id, self.daemon_names, self.own_name)
+        return state.cold_sends.allows(share, now_ms)
 
     def can_serve(self, target: ToAllShards) -> bool:
         """Return whether enough of a query's shards have a leaf that is reached."""
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -8,6 +8,7 @@
 import structlog
 
 from snipemount.adapters.text_measures import TextMeasures
+from snipemount.decisions.cold_limit import ColdBound
 from snipemount.decisions.extra_sends import ExtraSendBound
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_directory import LeafDirectory
@@ -129,7 +130,9 @@
             ZoneReach(zone),
             logger,
             self.measures,
-            1,
+            ColdBound(1.5, 5.0),
+            "own",
+            frozenset(["own"]),
         )
         self.timers.call_every(100.0, self.around.probe_zones)
         self.gateway = Gateway(self.around, RequestLog(logger, self.measures))
--- /dev/null
+++ b/tests/steps/steering_steps.py
@@ -0,0 +1,88 @@
+"""Steps on cold leafs and held versions."""
+
+from __future__ import annotations
+
+import attrs
+from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+from serving_world import SHARDS, ServingWorld
+
+from snipemount.decisions.cold_limit import share_of
+
+SECOND_MS = 1000.0
+
+
+@then(
+    "for any daemons and bounds the shares of a cold leaf sum up to at most the bound"
+)
+def step_sum(context):
+    @for_any(st.integers(0, 200), st.integers(1, 90), st.text(max_size=8))
+    def holds(bound, count, leaf_id):
+        names = [f"daemon-{number}" for number in range(count)]
+        total = sum(share_of(bound, leaf_id, names, name) for name in names)
+        assert total <= bound
+        assert total >= min(bound, count) * 0.5
+
+    holds()
+
+
+@given("a serving path whose services bear {per_s:g} requests a second while cold")
+def step_cold_world(context, per_s):
+    context.serving = ServingWorld()
+    context.serving.start()
+    context.serving.around.cold_requests_per_s = lambda service: per_s
+    context.serving.run_for(10_000.0)
+
+
+def change_zone(context, zone, **fields):
+    """Put new entries for the leafs of a zone."""
+    directory = context.serving.directory
+    now_ms = context.serving.timers.now_ms()
+    for state in directory.all_states():
+        if state.leaf.zone == zone and state.leaf.service in SHARDS:
+            directory.put(attrs.evolve(state.leaf, **fields), now_ms)
+
+
+@when("the leafs of {zone} are cold")
+def step_cold(context, zone):
+    change_zone(context, zone, cold_ms=60_000.0)
+
+
+@when("the leafs of {zone} are of version {version}, which is held")
+def step_held(context, zone, version):
+    change_zone(context, zone, version=version)
+    held = dict.fromkeys(SHARDS, version)
+    context.serving.directory.hold_versions(held)
+
+
+@when("the leafs of {zone} are removed")
+def step_zone_removed(context, zone):
+    directory = context.serving.directory
+    for state in directory.all_states():
+        if state.leaf.zone == zone:
+            directory.remove(state.leaf.leaf_id, context.serving.timers.now_ms())
+
+
+def arrivals_in(context, zone):
+    """Return the times of arrivals at each leaf of a zone."""
+    times = {}
+    for at_ms, leaf_id, _ in context.serving.leafs.arrivals:
+        if leaf_id.endswith(zone):
+            times.setdefault(leaf_id, []).append(at_ms)
+    return times
+
+
+@then("no leaf of {zone} got more than {most:d} requests in any second")
+def step_per_second(context, zone, most):
+    found = arrivals_in(context, zone)
+    assert found, "the cold leafs got nothing at all"
+    for times in found.values():
+        for start_ms in times:
+            span = [t for t in times if start_ms <= t < start_ms + SECOND_MS]
+            assert len(span) <= most, (len(span), start_ms)
+
+
+@then("no leaf of {zone} got a request")
+def step_none(context, zone):
+    assert not arrivals_in(context, zone)
