--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -45,7 +45,6 @@
 CONNECTION_SHARE = 0.95
 UNKNOWN_CONNECTIONS = 2
 REBALANCE_MS = 2500.0  # two missed readiness checks and the way there
-STOP_POLL_MS = 10.0
 STOP_SLACK_MS = 600.0
 
 
@@ -182,11 +181,6 @@
         share = CONNECTION_SHARE * traits.max_connections / self._around.daemons
         return max(1, int(share))
 
-    async def _idle(self, end_ms: float) -> None:
-        """Wait until no request runs, `end_ms` at the latest."""
-        while self._callers.in_flight and self._timers.now_ms() < end_ms:
-            await self._timers.sleep(STOP_POLL_MS)
-
     def _cold_requests_per_s(self, service: str) -> float:
         traits = self.gateway.traits(service)
         return 0.0 if traits is None else traits.cold_requests_per_s
@@ -198,11 +192,12 @@
         self._callers.closing = True
         self.logger.info("stopping", in_flight=self._callers.in_flight)
         await self._timers.sleep(REBALANCE_MS)
-        await self._idle(end_ms)
+        await self._callers.finish(self._timers, end_ms)
         # Closed only when nothing runs: what arrives now crosses the close unread.
         listener.close()
         self._callers.close_idle()
-        await self._idle(end_ms)
+        await self._callers.finish(self._timers, end_ms)
+        self._callers.refuse()
         self.logger.info("stopped", in_flight=self._callers.in_flight)
         self._leafs.close()
         await self._relay.close()
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -135,6 +135,7 @@
     ALL_REFUSED = "all_refused"
     QUARANTINED = "quarantined"
     OVERLOADED = "overloaded"
+    STOPPING = "stopping"
 
 
 class FailureReason(Enum):
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -15,6 +15,7 @@
     ForwardRequest,
     Merged,
     Passed,
+    RefusalReason,
     Refused,
     UnknownRoute,
 )
@@ -27,10 +28,14 @@
 
     from ..model.forwarding import Outcome
     from ..serving.gateway import Gateway
+    from ..timers import LoopTimers
 
 QUIET = logging.Logger("unused", logging.CRITICAL)
 RECEIPTS_A_HEADER = 30
 MS_PER_S = 1000.0
+AT_ONCE_MS = 20.0  # another daemon can be asked at once
+LOOK_PERIOD_MS = 10.0
+QUIET_LOOKS = 2
 IDLE_SLACK_S = 1.0
 FAILURE_STATUS = {
     FailureReason.LEAF_LOST: 502,
@@ -54,6 +59,7 @@
             self._handle, request_factory=self._make_request, handler_cancellation=True
         )
         self.closing = False
+        self._refusing = False
         self.in_flight = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -69,10 +75,25 @@
             access_log=QUIET,
         )
 
+    async def finish(self, timers: LoopTimers, end_ms: float) -> None:
+        """Wait until no request runs, `end_ms` at the latest.
+
+        A request that has been read counts as running only in the loop's next
+        turn, so that nothing may run in two looks in a row.
+        """
+        quiet = 0
+        while quiet < QUIET_LOOKS and timers.now_ms() < end_ms:
+            await timers.sleep(LOOK_PERIOD_MS)
+            quiet = 0 if self.in_flight else quiet + 1
+
     def close_idle(self) -> None:
         """Close each connection as soon as no request runs on it."""
         self._server.pre_shutdown()
 
+    def refuse(self) -> None:
+        """Refuse whatever is still read: the process ends."""
+        self._refusing = True
+
     def _make_request(
         self,
         message: RawRequestMessage,
@@ -106,6 +127,8 @@
         forward = parse_request(request, body)
         if forward is None:
             return web.Response(status=400)
+        if self._refusing:
+            return make_response(forward, Refused(RefusalReason.STOPPING, AT_ONCE_MS))
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         run = self._gateway.submit(forward, future.set_result)
         try:
