Story of a request from the daemons' logs; logs that never block are tested

Cause: the on-call engineers have a request's id and the logs of all daemons; one command joins them. Lines on a request carry what was asked of which leaf and for how long; the daemon's last beliefs stand before them.

--- a/src/snipemount/run.py
+++ b/src/snipemount/run.py
@@ -15,6 +15,7 @@
 from .queries.experiment import Experiment
 from .queries.reference import Reference
 from .queries.status import Events, HistogramCommand, StatusCommand
+from .queries.story import StoryCommand
 from .queries.traces import Record, Replay
 
 
@@ -37,6 +38,7 @@
         | HistogramCommand
         | Record
         | Replay
+        | StoryCommand
     ]
 
 
--- /dev/null
+++ b/tests/steps/story_steps.py
@@ -0,0 +1,52 @@
+"""Steps on the story of a request, and on log lines that never block."""
+
+from __future__ import annotations
+
+import io
+
+from behave import given, then, when
+
+from snipemount.logfmt import parse_line
+from snipemount.logs import make_logger
+from snipemount.queries.story import Story
+
+
+@given("a log in which daemon-2 loses zone-b and then refuses request abc123")
+def step_log(context):
+    stream = io.StringIO()
+    first = make_logger("info", "daemon-1", stream)
+    second = make_logger("info", "daemon-2", stream)
+    first.warning("store_lost", reason="TimeoutError")
+    second.warning("zone_cut_off", zone="zone-b")
+    first.info("request_ended", request="ffff", result="partial:1")
+    second.info("request_ended", request="abc123", result="refused:no_leaf")
+    context.log = stream.getvalue()
+
+
+@when("the story of {request} is told")
+def step_tell(context, request):
+    context.story = Story(request)
+    for line in context.log.splitlines():
+        context.story.read("  12.5 vm-name " + line)
+
+
+@then("it names the refusal and, before it, the zone that was cut off")
+def step_named(context):
+    before, refusal = context.story.found
+    assert "zone_cut_off" in before
+    assert refusal.startswith("> ") and "refused:no_leaf" in refusal
+
+
+@then("it names nothing of other daemons")
+def step_nothing_else(context):
+    assert not any("daemon-1" in line for line in context.story.found)
+
+
+@then("any text in a field is read as it was written")
+def step_round_trip(context):
+    stream = io.StringIO()
+    logger = make_logger("info", "daemon-1", stream)
+    logger.info("request_ended", unanswered="a[x:1ms,y:2ms] b[z]", deadline_ms=1.5)
+    fields = parse_line(stream.getvalue())
+    assert fields["unanswered"] == "a[x:1ms,y:2ms] b[z]"
+    assert fields["deadline_ms"] == "1.5"
