--- a/src/snipemount/decisions/answer_timing.py
+++ b/src/snipemount/decisions/answer_timing.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, route: Route) -> None:
-        target_ms = route.target_latency_ms
+        target_ms = route.latency_objective_ms
         self._usual = QuantileEstimate(USUAL_QUANTILE, FIRST_USUAL_SHARE * target_ms)
         self._late = QuantileEstimate(LATE_QUANTILE, FIRST_LATE_SHARE * target_ms)
 
@@ -44,7 +44,7 @@
 
     def second_send_ms(self, route: Route) -> float:
         """Return how long after its start a leg is given a second leaf."""
-        target_ms = route.target_latency_ms
+        target_ms = route.latency_objective_ms
         earliest_ms = EARLIEST_SHARE * target_ms
         latest_ms = LATEST_SHARE * target_ms
         return min(latest_ms, max(earliest_ms, self._late.value_ms))
@@ -52,7 +52,7 @@
     @staticmethod
     def answer_ms(route: Route) -> float:
         """Return how long after its arrival a query answers with what is in."""
-        target_ms = route.target_latency_ms
+        target_ms = route.latency_objective_ms
         return max(target_ms / 2.0, target_ms - ANSWER_MARGIN_MS)
 
 
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -19,6 +19,7 @@
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
 from .decisions.zone_reach import ZoneReach
+from .errors import SettingsError
 from .logs import make_logger
 from .platform.caller_server import CallerServer
 from .platform.documents import StoredDocuments
@@ -42,6 +43,7 @@
 METRICS_PATH = "/metrics"
 LOG_FLUSH_MS = 200.0
 PROBE_CHECK_MS = 100.0
+RELOAD_CHECK_MS = 2000.0  # the file may change without a signal
 CONNECTION_SHARE = 0.95
 UNKNOWN_CONNECTIONS = 2
 REBALANCE_MS = 2500.0  # two missed readiness checks and the way there
@@ -53,11 +55,19 @@
 
     Parameters
     ----------
-    settings : NodeSettings
-        What the platform says of this process.
+    path : Path
+        Settings file, in which the platform describes this process.
+
+    Raises
+    ------
+    SettingsError
+        When the file cannot be read or has a fault.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, path: Path) -> None:
+        settings = read_node_file(path)
+        self._path = path
+        self._reload_fault = ""
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._timers = LoopTimers(self._loop)
@@ -65,22 +75,17 @@
         self._log_writer = BoundedWriter(sys.stdout.fileno())
         self.logger = make_logger("info", settings.name, self._log_writer)
         self._measures = TextMeasures()
-        bounds = settings.bounds
         self._leafs = LeafClient(self._timers, self._connection_limit)
         self._around = Surroundings(
             self._timers,
             self._leafs,
             LeafDirectory(),
             LeafChoice(settings.zone, self._random),
-            ExtraSendBound(
-                bounds.extra_load_ratio,
-                bounds.extra_load_slack,
-                bounds.extra_load_window_ms,
-            ),
+            _extra_send_bound(settings),
             ZoneReach(settings.zone),
             self.logger,
             self._measures,
-            ColdBound(bounds.cold_ratio, bounds.cold_slack),
+            _cold_bound(settings),
             settings.name,
             cold_requests_per_s=self._cold_requests_per_s,
         )
@@ -133,6 +138,7 @@
         await self._relay.listen()
         self._feed.start(own.first_start)
         self._timers.call_every(LOG_FLUSH_MS, self._flush_log)
+        self._timers.call_every(RELOAD_CHECK_MS, self._reload)
         self._timers.call_every(PROBE_CHECK_MS, self._around.probe_zones)
         self.logger.info("started", zone=own.zone, callers=own.callers.port)
         await self._stopping.wait()
@@ -172,7 +178,25 @@
             self.logger.warning("log_lines_dropped", count=dropped)
 
     def _reload(self) -> None:
-        self.logger.info("reload_requested")
+        """Read the settings file again; a faulty one leaves the old in force."""
+        try:
+            settings = read_node_file(self._path)
+        except SettingsError as error:
+            if error.detail != self._reload_fault:
+                self.logger.error("settings_not_reloaded", reason=error.detail)
+            self._reload_fault = error.detail
+            return
+        self._reload_fault = ""
+        if settings == self._settings:
+            return
+        moved = (settings.callers, settings.store) != (
+            self._settings.callers,
+            self._settings.store,
+        )
+        self._settings = settings
+        self._around.bound = _extra_send_bound(settings)
+        self._around.cold_bound = _cold_bound(settings)
+        self.logger.info("settings_reloaded", takes_a_restart=moved)
 
     def _connection_limit(self, leaf: Leaf) -> int:
         traits = self.gateway.traits(leaf.service)
@@ -205,6 +229,17 @@
         self._log_writer.flush()
 
 
+def _extra_send_bound(settings: NodeSettings) -> ExtraSendBound:
+    bounds = settings.bounds
+    return ExtraSendBound(
+        bounds.extra_load_ratio, bounds.extra_load_slack, bounds.extra_load_window_ms
+    )
+
+
+def _cold_bound(settings: NodeSettings) -> ColdBound:
+    return ColdBound(settings.bounds.cold_ratio, settings.bounds.cold_slack)
+
+
 def _seed_addresses(settings: NodeSettings) -> tuple[DaemonAddress, ...]:
     own = settings.peers
     others = (host for host in settings.seeds if host != own.host)
@@ -213,8 +248,7 @@
 
 async def serve() -> None:
     """Run the daemon that the settings file describes."""
-    settings = read_node_file(Path(node_file_path()))
-    await EntryDaemon(settings).run()
+    await EntryDaemon(Path(node_file_path())).run()
 
 
 __all__ = ["EntryDaemon", "serve"]
--- a/src/snipemount/model/configuration.py
+++ b/src/snipemount/model/configuration.py
@@ -75,7 +75,7 @@
         Whether a request may run more than once.
     timeout_ms : float
         Longest time that a caller is kept waiting.
-    target_latency_ms : float
+    latency_objective_ms : float
         Time within which an answer is worth most to its caller.
     max_attempts : int
         Most leafs that may run one request, for each shard.
@@ -89,7 +89,7 @@
     target: Target
     idempotent: bool
     timeout_ms: float
-    target_latency_ms: float
+    latency_objective_ms: float
     max_attempts: int
     priority: int
 
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -56,7 +56,7 @@
         target=_target(item),
         idempotent=item["type"] == "idempotent",
         timeout_ms=timeout_ms,
-        target_latency_ms=float(item.get("target_latency_ms") or timeout_ms),
+        latency_objective_ms=float(item.get("target_latency_ms") or timeout_ms),
         max_attempts=max(1, int(item.get("max_attempts") or 1)),
         priority=int(item.get("priority") or 0),
     )
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -48,7 +48,7 @@
         "prefix": f"/{name}/",
         "idempotent": True,
         "timeout_ms": 1500.0,
-        "target_latency_ms": 150.0,
+        "latency_objective_ms": 150.0,
         "max_attempts": 2,
         "priority": 1,
     }
@@ -57,12 +57,14 @@
 
 ROUTES = (
     make_route("find", ToAllShards(SHARDS, 5, 0.75)),
-    make_route("look", ToService("ledger"), timeout_ms=6000.0, target_latency_ms=600.0),
+    make_route(
+        "look", ToService("ledger"), timeout_ms=6000.0, latency_objective_ms=600.0
+    ),
     make_route(
         "log",
         ToService("ledger"),
         timeout_ms=6000.0,
-        target_latency_ms=600.0,
+        latency_objective_ms=600.0,
         idempotent=False,
     ),
     make_route(
