--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -118,7 +118,8 @@
             response = await self._respond(request)
         finally:
             self.in_flight -= 1
-        if self.closing:
+        if self.closing or self._gateway.is_isolated:
+            # The balancer gives the caller's next connection to another daemon.
             response.force_close()
         return response
 
--- a/tests/platform/stopping.feature
+++ b/tests/platform/stopping.feature
@@ -10,3 +10,9 @@
     When the last wait is over and a request is read
     Then the request is answered 503 before the wait is over
     And no leaf got it
+
+  Scenario: A daemon that is cut off sends its callers to others
+    Given a caller interface over scripted leafs in real time
+    When a query is read while zone-b is cut off and half of the shards are there
+    Then the request is answered 503 before the wait is over
+    And the connection is announced to close
--- a/tests/steps/stopping_steps.py
+++ b/tests/steps/stopping_steps.py
@@ -5,11 +5,12 @@
 import asyncio
 
 from behave import given, then, when
-from serving_world import HOST, ServingWorld
+from serving_world import HOST, SHARDS, ServingWorld
 
 from snipemount.platform.caller_server import CallerServer
 from snipemount.timers import LoopTimers
 
+HEAD = f"HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: abc\r\nX-Deadline-Ms: 900\r\n\r\n"
 REQUEST = (
     f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: abc\r\n"
     "X-Deadline-Ms: 900\r\n\r\n"
@@ -47,7 +48,7 @@
     context.transport = MemoryTransport()
 
 
-async def serve(context, before_read):
+async def serve(context, before_read, request=REQUEST):
     """Make the interface, read a request, and wait."""
     timers = LoopTimers(asyncio.get_running_loop())
     context.serving = ServingWorld(timers=timers)
@@ -57,7 +58,7 @@
     protocol.connection_made(context.transport)
     await timers.sleep(5.0)
     await before_read(server, timers)
-    protocol.data_received(REQUEST)
+    protocol.data_received(request)
     await server.finish(timers, timers.now_ms() + WAIT_MS)
 
 
@@ -87,3 +88,22 @@
 @then("no leaf got it")
 def step_no_leaf(context):
     assert not context.serving.leafs.arrivals
+
+
+@when("a query is read while zone-b is cut off and half of the shards are there")
+def step_cut_off(context):
+    async def cut_off(server, timers):
+        around = context.serving.around
+        now_ms = timers.now_ms()
+        for number, shard in enumerate(SHARDS):
+            zone = "zone-a" if number % 2 else "zone-b"
+            around.directory.remove(f"{shard}-{zone}", now_ms)
+            around.reach.silent("zone-b", shard, now_ms)
+
+    query = f"GET /find/1 {HEAD}".encode()
+    context.loop.run_until_complete(serve(context, cut_off, query))
+
+
+@then("the connection is announced to close")
+def step_announced(context):
+    assert b"connection: close" in context.transport.written.lower()
