--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -152,7 +152,7 @@
         """
         self._register()
         timers = self._around.timers
-        timers.call_later(FIRST_LOOK_MS, self._first_look)
+        timers.call_later(FIRST_LOOK_MS if first_start else 0.0, self._first_look)
         if not first_start:
             self._follow_store()
         timers.call_every(HOUSEKEEPING_MS, self._leafs.settle_doubts)
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -84,3 +84,10 @@
     And the operators write version 7
     And 5 s pass for them
     Then all daemons but the first have version 7 in force
+
+  Scenario: A daemon restarted alone knows at once how many share the bounds
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And a daemon starts in zone-b beside them
+    And 0.05 s pass for them
+    Then the new daemon counts 7 daemons
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -201,3 +201,8 @@
 def step_deaf(context):
     for kind in context.fed[0].feed._kinds.values():
         kind._epoch += 1
+
+
+@then("the new daemon counts {count:d} daemons")
+def step_counts(context, count):
+    assert context.fed[-1].world.around.daemons == count
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -134,7 +134,7 @@
             self.measures,
             ColdBound(1.5, 5.0),
             "own",
-            frozenset(["own"]),
+            daemon_names=frozenset(["own"]),
         )
         self.timers.call_every(100.0, self.around.probe_zones)
         self.gateway = Gateway(self.around, RequestLog(logger, self.measures))
