--- a/src/snipemount/decisions/answer_timing.py
+++ b/src/snipemount/decisions/answer_timing.py
@@ -4,13 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from ..model.configuration import ToAllShards
 from .quantile import QuantileEstimate
 
 if TYPE_CHECKING:
     from ..model.configuration import Route
 
 USUAL_QUANTILE = 0.5
-LATE_QUANTILE = 0.95
+LATE_QUANTILE = 0.95  # of the legs of a query over few shards
+EARLIEST_QUANTILE = 0.86
+QUANTILE_PER_SHARD = 0.0012  # the more shards, the surer is a straggler
+FEW_SHARDS = 20
 FIRST_USUAL_SHARE = 0.2
 FIRST_LATE_SHARE = 0.35
 EARLIEST_SHARE = 0.1
@@ -33,7 +37,8 @@
     def __init__(self, route: Route) -> None:
         target_ms = route.latency_objective_ms
         self._usual = QuantileEstimate(USUAL_QUANTILE, FIRST_USUAL_SHARE * target_ms)
-        self._late = QuantileEstimate(LATE_QUANTILE, FIRST_LATE_SHARE * target_ms)
+        late = late_quantile(route)
+        self._late = QuantileEstimate(late, FIRST_LATE_SHARE * target_ms)
 
     @property
     def usual_ms(self) -> float:
@@ -68,6 +73,14 @@
         return max(objective_ms / 2.0, objective_ms - margin_ms)
 
 
+def late_quantile(route: Route) -> float:
+    """Return the share of a route's legs that are not given a second leaf."""
+    if not isinstance(route.target, ToAllShards):
+        return LATE_QUANTILE
+    more = max(0, len(route.target.shards) - FEW_SHARDS)
+    return max(EARLIEST_QUANTILE, LATE_QUANTILE - QUANTILE_PER_SHARD * more)
+
+
 class LoopLag:
     """How late the daemon's timers fire: it is as late with reading and writing."""
 
@@ -84,4 +97,4 @@
         self._late.add(max(0.0, lag_ms))
 
 
-__all__ = ["LoopLag", "RouteTiming"]
+__all__ = ["LoopLag", "RouteTiming", "late_quantile"]
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -108,10 +108,11 @@
         self.close()
 
     def close(self) -> None:
-        """Close at once, whatever is under way."""
+        """Close at once, whatever is under way, and make room for another one."""
         self.state = ConnectionState.CLOSED
         if self._transport is not None:
             self._transport.abort()
+        self._on_free(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -121,7 +122,6 @@
         """Feed the parser; bytes that nobody waits for end the connection."""
         if self._parser is None or self._done is None:
             self.close()
-            self._on_free(self)
             return
         try:
             messages, _, tail = self._parser.feed_data(data)
@@ -212,9 +212,9 @@
             load = parse_load(self._message.headers.get(names.LOAD, ""))
         if keep and self.state is ConnectionState.BUSY:
             self.state = ConnectionState.IDLE
+            self._on_free(self)
         else:
             self.close()
-        self._on_free(self)
         if done is not None:
             done(LegReport(outcome, load))
 
