--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -11,10 +11,12 @@
     RelayAlive,
     RelayChange,
     RelayConfirmation,
+    RelayEvidence,
     RelayListing,
     RelayLoss,
     RelayMessage,
     RelayRemoval,
+    SlowLeaf,
 )
 from ..ports.platform import Kind, StoredObject
 
@@ -24,6 +26,7 @@
 CONFIRMATION = 3
 LOSS = 4
 ALIVE = 5
+EVIDENCE = 6
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -45,6 +48,8 @@
             return [LOSS, reason]
         case RelayAlive():
             return [ALIVE]
+        case RelayEvidence(leafs):
+            return [EVIDENCE, [[leaf.leaf_id, leaf.slowness] for leaf in leafs]]
 
 
 def decode_relay(frame: bytes) -> RelayMessage:
@@ -78,6 +83,10 @@
             return RelayLoss(str(reason))
         case [5]:
             return RelayAlive()
+        case [6, leafs]:
+            return RelayEvidence(
+                tuple(SlowLeaf(str(leaf_id), float(x)) for leaf_id, x in leafs)
+            )
     raise ValueError("unknown message")
 
 
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from structlog.typing import FilteringBoundLogger
+    from websockets.asyncio.client import ClientConnection
     from websockets.asyncio.server import Server, ServerConnection
 
     from ..model.relay import RelayMessage
@@ -39,6 +40,8 @@
         TCP port.
     snapshot : Callable
         Gives the messages with which a new follower begins; empty refuses it.
+    on_told : Callable
+        Takes what followers tell.
     logger : FilteringBoundLogger
         Logger.
     """
@@ -48,8 +51,11 @@
         host: str,
         port: int,
         snapshot: Callable[[], list[RelayMessage]],
+        on_told: Callable[[RelayMessage], None],
         logger: FilteringBoundLogger,
     ) -> None:
+        self._on_told = on_told
+        self._upward: ClientConnection | None = None
         self._host = host
         self._port = port
         self._snapshot = snapshot
@@ -85,6 +91,7 @@
         if self._following is not None:
             self._following.cancel()
             self._following = None
+            self._upward = None
 
     def publish(self, message: RelayMessage) -> None:
         """Pass a message on; a follower that does not read is dropped."""
@@ -97,6 +104,11 @@
                 follower.transport.abort()
         broadcast(self._followers, encode_relay(message))
 
+    def tell(self, message: RelayMessage) -> None:
+        """Send a message to the daemon that is followed, if any."""
+        if self._upward is not None:
+            broadcast([self._upward], encode_relay(message))
+
     async def close(self) -> None:
         """Leave the daemon followed and close the listener."""
         self.unfollow()
@@ -113,7 +125,13 @@
             broadcast([connection], encode_relay(message))
         self._followers.add(connection)
         try:
-            await connection.wait_closed()
+            async for frame in connection:
+                if isinstance(frame, bytes):
+                    self._on_told(decode_relay(frame))
+        except ConnectionClosed:
+            return
+        except DecodeError as error:
+            self._logger.warning("relay_malformed", reason=error.detail)
         finally:
             self._followers.discard(connection)
 
@@ -133,6 +151,8 @@
                 close_timeout=OPEN_TIMEOUT_S,
                 proxy=None,
             ) as connection:
+                if self._following is asyncio.current_task():
+                    self._upward = connection
                 while True:
                     async with asyncio.timeout(SILENCE_S):
                         frame = await connection.recv(decode=False)
@@ -149,6 +169,7 @@
                 "relay_malformed", daemon_followed=daemon.name, reason=error.detail
             )
         if self._following is asyncio.current_task():
+            self._upward = None
             on_end()
 
 
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -15,6 +15,8 @@
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_MEMORY_MS = 2500.0
 MOST_SLOWNESS = 30.0
+TOLD_SLOWNESS = 3.0
+HEARSAY_WEIGHT = 0.3
 FAILURE_WEIGHT = 0.25
 FAILURE_MEMORY_MS = 4000.0
 LOAD_MEMORY_MS = 120.0
@@ -42,6 +44,7 @@
         self._next_send = count()
         self._slowness = 1.0
         self._slowness_at_ms = now_ms
+        self._untold_slowness = 0.0
         self._failure_rate = 0.0
         self._failure_at_ms = now_ms
         self._refusal_rate = 0.0
@@ -109,6 +112,18 @@
         if ratio > max(1.0, self.slowness(now_ms)):
             self._learn_speed(ratio, now_ms)
 
+    def hear_slowness(self, slowness: float, now_ms: float) -> None:
+        """Take another daemon's word that the leaf is slow."""
+        known = self.slowness(now_ms)
+        if slowness > known:
+            self._slowness = known + HEARSAY_WEIGHT * (slowness - known)
+            self._slowness_at_ms = now_ms
+
+    def take_slowness(self) -> float:
+        """Return the slowness seen since the last call; 0 where there was none."""
+        untold, self._untold_slowness = self._untold_slowness, 0.0
+        return untold
+
     def told(self, load: LoadReport, now_ms: float) -> None:
         """Take the load that the leaf told."""
         self._told = max(0, load.running + load.waiting - 1)
@@ -157,6 +172,8 @@
 
     def _learn_speed(self, ratio: float, now_ms: float) -> None:
         bounded = min(MOST_SLOWNESS, max(0.2, ratio))
+        if bounded >= TOLD_SLOWNESS:
+            self._untold_slowness = max(self._untold_slowness, bounded)
         known = self.slowness(now_ms)
         self._slowness = known + SLOWNESS_WEIGHT * (bounded - known)
         self._slowness_at_ms = now_ms
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -96,7 +96,7 @@
         )
         peers = settings.peers
         self._relay = WebsocketRelay(
-            peers.host, peers.port, self._relay_snapshot, self.logger
+            peers.host, peers.port, self._relay_snapshot, self._told, self.logger
         )
         self._feed = StoreFeed(
             self._store,
@@ -147,6 +147,9 @@
     def _relay_snapshot(self) -> list[RelayMessage]:
         return self._feed.snapshot()
 
+    def _told(self, message: RelayMessage) -> None:
+        self._feed.told(message)
+
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
--- a/src/snipemount/model/relay.py
+++ b/src/snipemount/model/relay.py
@@ -54,6 +54,29 @@
     """The sender lives; nothing has changed."""
 
 
+@attrs.frozen
+class SlowLeaf:
+    """A leaf that a daemon has just seen to be slow.
+
+    Parameters
+    ----------
+    leaf_id : str
+        The leaf.
+    slowness : float
+        How many times the usual an answer took, at least.
+    """
+
+    leaf_id: str
+    slowness: float
+
+
+@attrs.frozen
+class RelayEvidence:
+    """What one daemon, or several, have just seen of leafs."""
+
+    leafs: tuple[SlowLeaf, ...]
+
+
 RelayMessage = (
     RelayListing
     | RelayChange
@@ -61,14 +84,17 @@
     | RelayConfirmation
     | RelayLoss
     | RelayAlive
+    | RelayEvidence
 )
 
 __all__ = [
     "RelayAlive",
     "RelayChange",
     "RelayConfirmation",
+    "RelayEvidence",
     "RelayListing",
     "RelayLoss",
     "RelayMessage",
     "RelayRemoval",
+    "SlowLeaf",
 ]
--- a/src/snipemount/ports/relay.py
+++ b/src/snipemount/ports/relay.py
@@ -55,5 +55,9 @@
     def publish(self, message: RelayMessage) -> None:
         """Pass a message on to all followers."""
 
+    @abstractmethod
+    def tell(self, message: RelayMessage) -> None:
+        """Send a message to the daemon that is followed, if any."""
+
 
 __all__ = ["DaemonAddress", "RelayPort"]
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -14,6 +14,7 @@
     RelayAlive,
     RelayChange,
     RelayConfirmation,
+    RelayEvidence,
     RelayListing,
     RelayLoss,
     RelayRemoval,
@@ -21,6 +22,7 @@
 from ..ports.platform import Conflicted, Failed, Found, Kind, Listed, Missing, Written
 from ..ports.relay import DaemonAddress
 from .followed_kind import FollowedKind
+from .leaf_evidence import LeafEvidence
 from .store_subscribers import (
     ConfigurationSubscriber,
     LeafSubscriber,
@@ -48,6 +50,7 @@
 
 ORDERS_PERIOD_MS = 1000.0
 HOUSEKEEPING_MS = 250.0
+EVIDENCE_PERIOD_MS = 100.0
 ALIVE_PERIOD_MS = 500.0
 FIRST_LOOK_MS = 600.0  # the daemons of a deployment start together
 LOOK_PERIOD_MS = 10_000.0
@@ -138,6 +141,7 @@
         }
         self._daemons: tuple[DaemonAddress, ...] = ()
         self._followed: DaemonAddress | None = None
+        self._evidence = LeafEvidence(around)
         self._confirmed_ms = 0.0
         self._untried: list[DaemonAddress] = []
 
@@ -157,6 +161,7 @@
             self._follow_store()
         timers.call_every(HOUSEKEEPING_MS, self._leafs.settle_doubts)
         timers.call_every(HOUSEKEEPING_MS, self._check_followed)
+        timers.call_every(EVIDENCE_PERIOD_MS, self._share_evidence)
         timers.call_every(ALIVE_PERIOD_MS, lambda: self._publish(RelayAlive()))
 
     def snapshot(self) -> list[RelayMessage]:
@@ -172,6 +177,21 @@
             messages.append(RelayLoss("the store does not answer"))
         return messages
 
+    def told(self, message: RelayMessage) -> None:
+        """Take what a follower has seen; it goes on to the others with our own."""
+        if isinstance(message, RelayEvidence):
+            self._evidence.hear(message.leafs)
+            self._evidence.pass_on(message.leafs)
+
+    def _share_evidence(self) -> None:
+        leafs = self._evidence.take()
+        if not leafs:
+            return
+        if self._followed is None:
+            self._relay.publish(RelayEvidence(leafs))
+        else:
+            self._relay.tell(RelayEvidence(leafs))
+
     def _publish(self, message: RelayMessage) -> None:
         if self._followed is None:
             self._relay.publish(message)
@@ -285,6 +305,8 @@
             case RelayLoss():
                 self._relay.unfollow()
                 self._ended(daemon)
+            case RelayEvidence(leafs):
+                self._evidence.hear(leafs)
             case RelayAlive():
                 pass
 
--- a/src/snipemount/standins/local_relay.py
+++ b/src/snipemount/standins/local_relay.py
@@ -32,9 +32,14 @@
         self.timers = timers
         self.relays: dict[tuple[str, int], LocalRelay] = {}
 
-    def add(self, host: str, snapshot: Callable[[], list[RelayMessage]]) -> LocalRelay:
+    def add(
+        self,
+        host: str,
+        snapshot: Callable[[], list[RelayMessage]],
+        on_told: Callable[[RelayMessage], None],
+    ) -> LocalRelay:
         """Return the relay of a new daemon."""
-        relay = LocalRelay(self, host, snapshot)
+        relay = LocalRelay(self, host, snapshot, on_told)
         self.relays[host, 1] = relay
         return relay
 
@@ -47,7 +52,9 @@
         network: LocalRelays,
         host: str,
         snapshot: Callable[[], list[RelayMessage]],
+        on_told: Callable[[RelayMessage], None],
     ) -> None:
+        self._on_told = on_told
         self._network = network
         self.host = host
         self._snapshot = snapshot
@@ -96,6 +103,15 @@
             for follower in list(self._followers):
                 self._send(follower, message)
 
+    def tell(self, message: RelayMessage) -> None:
+        """Send a message to the daemon that is followed, if any."""
+        leader = self._leader
+        if leader is None or self.frozen or leader.frozen:
+            return
+        frame = encode_relay(message)
+        timers = self._network.timers
+        timers.call_later(DELAY_MS, lambda: leader._on_told(decode_relay(frame)))
+
     def kill(self) -> None:
         """End the daemon: its followers see the connection close."""
         self.gone = True
--- a/tests/adapters/relay.feature
+++ b/tests/adapters/relay.feature
@@ -17,3 +17,9 @@
     Given a relay on loopback with a snapshot of 0 listings
     When a daemon follows it
     Then the end is reported
+
+  Scenario: A follower tells what it has seen
+    Given a relay on loopback with a snapshot of 3 listings
+    When a daemon follows it
+    And the follower tells of a slow leaf
+    Then the daemon that is followed has heard it
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -91,3 +91,11 @@
     And a daemon starts in zone-b beside them
     And 0.05 s pass for them
     Then the new daemon counts 7 daemons
+
+  # Pattern: leafs of many shards turn slow, and each daemon asks each leaf seldom.
+  Scenario: What one daemon sees of a slow leaf is known in its zone
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And leaf-0 has answered daemon 2 far too late
+    And 0.3 s pass for them
+    Then the daemons of zone-a know that leaf-0 is slow, and only they
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -56,7 +56,9 @@
     address = DaemonAddress(f"daemon-{number}", zone, f"10.0.0.{number}", 1)
     platform = FakePlatform(context.store, context.timers, context.faults)
     held = []
-    relay = context.relays.add(address.host, lambda: held[0].snapshot())
+    relay = context.relays.add(
+        address.host, lambda: held[0].snapshot(), lambda m: held[0].told(m)
+    )
     logger = structlog.wrap_logger(None, processors=[drop])
     feed = StoreFeed(
         platform,
@@ -206,3 +208,20 @@
 @then("the new daemon counts {count:d} daemons")
 def step_counts(context, count):
     assert context.fed[-1].world.around.daemons == count
+
+
+@when("{name} has answered daemon {number:d} far too late")
+def step_slow_seen(context, name, number):
+    world = context.fed[number].world
+    state = world.directory.known(name)
+    now_ms = context.timers.now_ms()
+    state.answered(state.sent(now_ms - 400.0), 20.0, now_ms)
+
+
+@then("the daemons of zone-a know that {name} is slow, and only they")
+def step_know_slow(context, name):
+    now_ms = context.timers.now_ms()
+    for daemon in context.fed:
+        slowness = daemon.world.directory.known(name).slowness(now_ms)
+        in_zone = daemon.address.zone == "zone-a"
+        assert (slowness > 2.0) == in_zone, (daemon.address.name, slowness)
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from snipemount.adapters.relay_websocket import WebsocketRelay
-from snipemount.model.relay import RelayChange, RelayListing
+from snipemount.model.relay import RelayChange, RelayEvidence, RelayListing, SlowLeaf
 from snipemount.ports.platform import Kind, StoredObject
 from snipemount.ports.relay import DaemonAddress
 from snipemount.standins.harness import free_port
@@ -23,6 +23,10 @@
     raise structlog.DropEvent
 
 
+def drop_message(message):
+    """Take nothing."""
+
+
 def run(context, work):
     """Run `work` on the scenario's loop."""
     return context.loop.run_until_complete(work)
@@ -44,8 +48,11 @@
     kinds = (Kind.CONFIGURATION, Kind.LEAF, Kind.ZONE_ORDER)
     listings = [RelayListing(kind, 5, ()) for kind in kinds[:count]]
     port = free_port()
-    context.relay = WebsocketRelay(HOST, port, lambda: list(listings), logger)
-    context.follower = WebsocketRelay(HOST, free_port(), list, logger)
+    context.told = []
+    context.relay = WebsocketRelay(
+        HOST, port, lambda: list(listings), context.told.append, logger
+    )
+    context.follower = WebsocketRelay(HOST, free_port(), list, drop_message, logger)
     context.address = DaemonAddress("leader", "zone-a", HOST, port)
     context.heard = []
     context.ended = []
@@ -113,3 +120,17 @@
 @then("the end is reported")
 def step_end(context):
     assert context.ended == [True]
+
+
+@when("the follower tells of a slow leaf")
+def step_tell(context):
+    async def tell():
+        context.follower.tell(RelayEvidence((SlowLeaf("leaf-1", 5.0),)))
+        await until(lambda: context.told)
+
+    run(context, tell())
+
+
+@then("the daemon that is followed has heard it")
+def step_told(context):
+    assert context.told == [RelayEvidence((SlowLeaf("leaf-1", 5.0),))]
