--- a/src/snipemount/decisions/extra_sends.py
+++ b/src/snipemount/decisions/extra_sends.py
@@ -12,7 +12,7 @@
 import attrs
 
 BUCKETS = 20
-RATIO_MARGIN = 0.85
+RATIO_MARGIN = 0.7  # what was spent before a restart may still count
 SLACK_MARGIN = 0.5  # a daemon and its restart may both spend their part in one window
 
 
