Store client: only the leafs' watch rests after changes

Cause: the rest of 250 ms delayed the product's own kinds too, so an operator's second command met a stale version (operators.feature, 'A move is started, held, resumed and taken back': conflict 402; the operators' page likewise).

--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -40,7 +40,7 @@
 }
 WATCH_WAIT_MS = 3000  # a connection that went silent is noticed soon after it
 WATCH_SLACK_MS = 600.0
-REST_MS = 250.0  # after changes, so that those that follow share a call
+REST_MS = 250.0  # after changes of leafs, which come in series, to share a call
 MS_PER_S = 1000.0
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
@@ -273,7 +273,7 @@
                 end = Failed(f"malformed event: {error}")
             else:
                 end, version = self._report(found, version, on_event)
-                if end is None and found != ([], version):
+                if kind is Kind.LEAF and end is None and found != ([], version):
                     await asyncio.sleep(REST_MS / MS_PER_S)
         on_event(end)
 
