Runs: what both kinds of request do stands once; one test of 'enough shards'

Cause: the review of the change found the constructor, timers, cancel and hand-over of GatherRun and SingleRun twice, the least share compared in two forms (product and quotient, which may differ at the edge), and two refusal reasons that nothing gives.

--- a/src/snipemount/model/configuration.py
+++ b/src/snipemount/model/configuration.py
@@ -53,6 +53,10 @@
     top_k: int
     least_share: float
 
+    def suffices(self, answered: int) -> bool:
+        """Return whether so many shards make an answer a success."""
+        return answered > 0 and answered / len(self.shards) >= self.least_share
+
 
 Target = ToService | ToWeightedServices | ToAllShards
 
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -133,8 +133,6 @@
     NO_CONFIGURATION = "no_configuration"
     NO_LEAF = "no_leaf"
     ALL_REFUSED = "all_refused"
-    QUARANTINED = "quarantined"
-    OVERLOADED = "overloaded"
     STOPPING = "stopping"
 
 
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..decisions.answer_timing import RouteTiming
 from ..decisions.record_merge import greatest_records
 from ..model.forwarding import (
     Failed,
@@ -14,7 +15,7 @@
     Refused,
 )
 from .request_log import Unanswered
-from .run import Run
+from .run import RETRY_AFTER_MS, RoutedRun
 from .service_call import ServiceCall
 
 if TYPE_CHECKING:
@@ -25,10 +26,9 @@
     from .surroundings import Surroundings
 
 SECOND_SEND_PERIOD_MS = 8.0
-RETRY_AFTER_MS = 50.0
 
 
-class GatherRun(Run):
+class GatherRun(RoutedRun):
     """Asks every shard, gives late ones a second leaf, answers in time.
 
     Parameters
@@ -56,12 +56,8 @@
         deadline_at_ms: float,
         done: Callable[[Outcome], None],
     ) -> None:
-        self._around = surroundings
-        self._route = route
+        super().__init__(surroundings, route, deadline_at_ms, done)
         self._target = target
-        self._done: Callable[[Outcome], None] | None = done
-        self._started_ms = surroundings.timers.now_ms()
-        self._deadline_at_ms = deadline_at_ms
         self._open = len(target.shards)
         self._calls = [
             ServiceCall(
@@ -74,25 +70,16 @@
 
     def start(self) -> None:
         """Ask every shard, or refuse at once when too few can be asked."""
-        if not self._enough_shards():
+        if not self._around.can_serve(self._target):
             self._finish(Refused(RefusalReason.NO_LEAF, RETRY_AFTER_MS))
             return
         around = self._around
-        timing = around.timing(self._route)
-        timers = around.timers
-        timers.call_later(timing.second_send_ms(self._route), self._second_sends)
-        self._answer_after_ms = timing.answer_ms(self._route, around.lag.value_ms)
-        timers.call_later(self._answer_after_ms, self._answer_is_due)
-        left_ms = self._deadline_at_ms - self._started_ms
-        timers.call_later(left_ms, self._time_is_up)
+        self._schedule(self._second_sends)
+        self._answer_after_ms = RouteTiming.answer_ms(self._route, around.lag.value_ms)
+        around.timers.call_later(self._answer_after_ms, self._answer_is_due)
         for call in self._calls:
             call.start()
 
-    def cancel(self) -> None:
-        """Stop all work: the caller has left."""
-        self._done = None
-        self._cancel_calls()
-
     def unanswered(self) -> list[Unanswered]:
         """Return the shards that gave no part."""
         return [
@@ -101,17 +88,8 @@
             if call.answer is None or not call.answer.succeeded
         ]
 
-    def _enough_shards(self) -> bool:
-        return self._around.can_serve(self._target)
-
-    def _enough(self, answered: int) -> bool:
-        return answered > 0 and self._share(answered) >= self._target.least_share
-
-    def _share(self, answered: int) -> float:
-        return answered / len(self._target.shards)
-
     def _second_sends(self) -> None:
-        if self._done is None:
+        if self._ended:
             return
         for call in self._calls:
             call.second_send()
@@ -124,11 +102,11 @@
     def _is_hopeless(self) -> bool:
         if not self._around.reach.cut_off_zones():
             return False
-        return not self._enough(sum(call.has_prospect for call in self._calls))
+        return not self._target.suffices(sum(call.has_prospect for call in self._calls))
 
     def _settled(self, call: ServiceCall) -> None:
         self._open -= 1
-        if self._done is None:
+        if self._ended:
             return
         if self._open == 0:
             self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
@@ -143,11 +121,11 @@
 
     def _answer_now(self) -> None:
         self._answer_due = True
-        if self._done is not None and self._enough(len(self._parts())):
+        if not self._ended and self._target.suffices(len(self._parts())):
             self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
 
     def _time_is_up(self) -> None:
-        if self._done is not None:
+        if not self._ended:
             self._finish(self._outcome(FailureReason.TIMEOUT))
 
     def _parts(self) -> list[LeafAnswer]:
@@ -156,7 +134,7 @@
 
     def _outcome(self, otherwise: FailureReason) -> Outcome:
         parts = self._parts()
-        if self._enough(len(parts)):
+        if self._target.suffices(len(parts)):
             receipts = tuple(part.receipt for part in parts)
             body = greatest_records((part.body for part in parts), self._target.top_k)
             return Merged(receipts, len(self._calls) - len(parts), body)
@@ -164,14 +142,7 @@
             return Failed(otherwise)
         return Refused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
 
-    def _finish(self, outcome: Outcome) -> None:
-        done = self._done
-        self._done = None
-        if done is not None:
-            done(outcome)
-        self._cancel_calls()
-
-    def _cancel_calls(self) -> None:
+    def _stop_calls(self) -> None:
         for call in self._calls:
             if not call.settled:
                 call.cancel()
--- a/src/snipemount/serving/single_run.py
+++ b/src/snipemount/serving/single_run.py
@@ -6,7 +6,7 @@
 
 from ..model.forwarding import Failed, FailureReason, Passed, RefusalReason, Refused
 from .request_log import Unanswered
-from .run import Run
+from .run import RETRY_AFTER_MS, RoutedRun
 from .service_call import ServiceCall
 
 if TYPE_CHECKING:
@@ -16,10 +16,8 @@
     from ..model.forwarding import ForwardRequest, Outcome
     from .surroundings import Surroundings
 
-RETRY_AFTER_MS = 50.0
 
-
-class SingleRun(Run):
+class SingleRun(RoutedRun):
     """Passes a leaf's answer on unchanged.
 
     Parameters
@@ -47,29 +45,16 @@
         deadline_at_ms: float,
         done: Callable[[Outcome], None],
     ) -> None:
-        self._around = surroundings
-        self._route = route
-        self._done: Callable[[Outcome], None] | None = done
-        self._started_ms = surroundings.timers.now_ms()
-        self._deadline_at_ms = deadline_at_ms
+        super().__init__(surroundings, route, deadline_at_ms, done)
         self._call = ServiceCall(
             surroundings, service, route, request, deadline_at_ms, self._settled
         )
 
     def start(self) -> None:
         """Ask the best leaf."""
-        timing = self._around.timing(self._route)
-        timers = self._around.timers
-        timers.call_later(timing.second_send_ms(self._route), self._second_send)
-        left_ms = self._deadline_at_ms - self._started_ms
-        timers.call_later(left_ms, self._time_is_up)
+        self._schedule(self._second_send)
         self._call.start()
 
-    def cancel(self) -> None:
-        """Stop all work: the caller has left."""
-        self._done = None
-        self._call.cancel()
-
     def unanswered(self) -> list[Unanswered]:
         """Return the service unless a leaf of it has answered."""
         call = self._call
@@ -81,17 +66,13 @@
         self._call.second_send()
 
     def _settled(self, call: ServiceCall) -> None:
-        self._finish(FailureReason.LEAF_LOST)
+        self._finish(self._outcome(FailureReason.LEAF_LOST))
 
     def _time_is_up(self) -> None:
-        if self._done is not None:
-            self._finish(FailureReason.TIMEOUT)
-
-    def _finish(self, otherwise: FailureReason) -> None:
-        done = self._done
-        self._done = None
-        if done is not None:
-            done(self._outcome(otherwise))
+        if not self._ended:
+            self._finish(self._outcome(FailureReason.TIMEOUT))
+
+    def _stop_calls(self) -> None:
         if not self._call.settled:
             self._call.cancel()
 
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -120,7 +120,7 @@
     def can_serve(self, target: ToAllShards) -> bool:
         """Return whether enough of a query's shards have a leaf that is reached."""
         served = sum(bool(self.candidates(shard)) for shard in target.shards)
-        return served > 0 and served >= target.least_share * len(target.shards)
+        return target.suffices(served)
 
     def heard(self, leaf: Leaf) -> None:
         """Note that something came from a leaf."""
