--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(BIN)/python benchmarks/control_cost.py
 
 soak: $(VENV)/.installed
-	$(BIN)/snipemount experiment soak
+	$(BIN)/snipemount soak --seed $$(date +%s) --seeds 10 --minutes 0.2
 
 clean:
 	rm -rf $(VENV)
