--- a/src/snipemount/decisions/owner_dispatch.py
+++ b/src/snipemount/decisions/owner_dispatch.py
@@ -19,7 +19,8 @@
 )
 
 if TYPE_CHECKING:
-    from .server_owner import OwnerAction, ServerOwner
+    from .owner_messages import OwnerAction
+    from .server_owner import ServerOwner
 
 
 def handle(owner: ServerOwner, event: OwnerEvent, now_ms: float) -> list[OwnerAction]:
--- a/src/snipemount/decisions/owner_events.py
+++ b/src/snipemount/decisions/owner_events.py
@@ -6,7 +6,7 @@
 
 from ..model.exchange import Exchange
 from ..model.fleet import BackendServer
-from .server_owner import Answered, Lost, NotConnected, Origin, Refused, Stopped
+from .owner_messages import Answered, Lost, NotConnected, Origin, Refused, Stopped
 
 
 @attrs.frozen
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -4,12 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..errors import ResultCode
 from ..model.answer import Answer
 from ..model.exchange import Attempt, Exchange, ExchangeReply, Fate, Reason
 from .merge import Merge, Verdict
+from .run_actions import (
+    CancelExchange,
+    Finish,
+    Restart,
+    RunAction,
+    SendExchange,
+    Sent,
+    WakeAt,
+)
 
 if TYPE_CHECKING:
     from ..model.fleet import ShardMap
@@ -27,55 +34,6 @@
 )
 
 
-@attrs.frozen
-class SendExchange:
-    """Hand an exchange to the owner of its server."""
-
-    exchange: Exchange
-
-
-@attrs.frozen
-class CancelExchange:
-    """Tell the owner that an exchange is no longer wanted."""
-
-    exchange_id: int
-    server: str
-
-
-@attrs.frozen
-class WakeAt:
-    """Call `wake` at this time."""
-
-    at_ms: float
-
-
-@attrs.frozen
-class Finish:
-    """Give the caller this answer; the run is over."""
-
-    answer: Answer
-
-
-@attrs.frozen
-class Restart:
-    """Begin the query anew on a newer snapshot; the run is over."""
-
-    fallback: Answer
-
-
-RunAction = SendExchange | CancelExchange | WakeAt | Finish | Restart
-
-
-@attrs.define(eq=False)
-class Sent:
-    """An exchange on its way."""
-
-    exchange: Exchange
-    sent_ms: float
-    hedge_at_ms: float
-    hedged: bool = False
-
-
 class QueryRun:
     """State machine of one query on one pinned snapshot.
 
@@ -448,12 +406,4 @@
         return Finish(answer)
 
 
-__all__ = [
-    "CancelExchange",
-    "Finish",
-    "QueryRun",
-    "Restart",
-    "RunAction",
-    "SendExchange",
-    "WakeAt",
-]
+__all__ = ["QueryRun"]
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..decisions.server_owner import NotConnected
+from ..decisions.owner_messages import NotConnected
 from ..ports.backend import BackendPort
 from ..ports.peer import PeerPort
 from ..ports.platform import Expired, Failed, Kind, PlatformPort, Unchanged, Watch
@@ -17,7 +17,7 @@
     from random import Random
 
     from ..decisions.membership import Member
-    from ..decisions.server_owner import BackendOutcome
+    from ..decisions.owner_messages import BackendOutcome
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..node.node import Node
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -16,10 +16,10 @@
     Granted,
     Unavailable,
 )
-from ..decisions.query_run import (
+from ..decisions.query_run import QueryRun
+from ..decisions.run_actions import (
     CancelExchange,
     Finish,
-    QueryRun,
     Restart,
     SendExchange,
     WakeAt,
@@ -30,6 +30,7 @@
 from ..model.answer import Answer
 from ..model.exchange import ExchangeReply, Fate, Reason
 from .answer_store import answer_from_text, answer_to_text
+from .jobs import Job, Pending
 from .shard_key import shard_of
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
 
     from ..decisions.claims import ClaimResult
     from ..decisions.quarantine import Quarantine
-    from ..decisions.query_run import RunAction
+    from ..decisions.run_actions import RunAction
     from ..model.exchange import Exchange
     from ..model.fleet import ShardMap
     from ..model.request import Request
@@ -55,54 +56,6 @@
 )
 
 
-@attrs.define(eq=False)
-class Job:
-    """A caller's request while it is in the daemon.
-
-    Parameters
-    ----------
-    request : Request
-        The request.
-    done : Callable
-        Gets the answer, once.
-    started_ms : float
-        When it arrived.
-    run : QueryRun or None
-        The run on its snapshot.
-    claim : ClaimRecord or None
-        Claim of its idempotency key, once granted.
-    restarts : int
-        Restarts on a newer snapshot.
-    proving : bool
-        Whether other requests of the same fingerprint wait for it.
-    """
-
-    request: Request
-    done: Callable[[Answer], None]
-    started_ms: float
-    run: QueryRun | None = None
-    claim: ClaimRecord | None = None
-    restarts: int = 0
-    proving: bool = False
-
-
-@attrs.define(eq=False)
-class Pending:
-    """An exchange that has not ended, and the daemon that has it."""
-
-    job: Job
-    run: QueryRun
-    exchange: Exchange
-    daemon: str
-    sent_ms: float
-
-    def matches(self, reply: ExchangeReply, daemon: str) -> bool:
-        """Return whether `reply` from `daemon` is the end of this exchange."""
-        exchange = self.exchange
-        same = reply.request_id == exchange.request_id
-        return same and reply.server == exchange.server and daemon == self.daemon
-
-
 class EntryDriver:
     """Admits requests and runs each one on one pinned snapshot.
 
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -7,8 +7,8 @@
 import attrs
 
 from ..decisions.membership import HEARTBEAT_PERIOD_MS, Member, Membership
+from ..decisions.owner_messages import Origin
 from ..decisions.quarantine import Quarantine, StrikeNotice
-from ..decisions.server_owner import Origin
 from ..ports.peer import (
     AskCatalogue,
     Goodbye,
@@ -38,7 +38,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.server_owner import Strike
+    from ..decisions.owner_messages import Strike
     from ..model.answer import Answer
     from ..model.exchange import Exchange, ExchangeReply
     from ..model.fleet import BackendServer
--- a/src/snipemount/node/owner.py
+++ b/src/snipemount/node/owner.py
@@ -20,13 +20,8 @@
     Ticked,
     Withdrawn,
 )
-from ..decisions.server_owner import (
-    CancelOnServer,
-    Dispatch,
-    Reply,
-    ServerOwner,
-    Strike,
-)
+from ..decisions.owner_messages import CancelOnServer, Dispatch, Reply, Strike
+from ..decisions.server_owner import ServerOwner
 from ..model.exchange import ExchangeReply, Fate, Reason
 from .recorder import TakenUp
 
@@ -34,7 +29,7 @@
     from collections.abc import Callable
 
     from ..decisions.owner_events import OwnerEvent
-    from ..decisions.server_owner import BackendOutcome, Origin, OwnerAction
+    from ..decisions.owner_messages import BackendOutcome, Origin, OwnerAction
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..model.profile import Profile
--- a/src/snipemount/node/recorder.py
+++ b/src/snipemount/node/recorder.py
@@ -13,14 +13,15 @@
 from ..decisions import owner_events
 from ..decisions.latency_reference import LatencyReference
 from ..decisions.owner_dispatch import handle
-from ..decisions.server_owner import BackendOutcome, ServerOwner
+from ..decisions.owner_messages import BackendOutcome
+from ..decisions.server_owner import ServerOwner
 from ..errors import DecodeError
 from ..model.fleet import BackendServer
 from ..model.profile import Profile
 
 if TYPE_CHECKING:
     from ..decisions.owner_events import OwnerEvent
-    from ..decisions.server_owner import OwnerAction
+    from ..decisions.owner_messages import OwnerAction
 
 RING_LENGTH = 2000
 TRACE_VERSION = 1
--- a/tests/steps/decision_steps.py
+++ b/tests/steps/decision_steps.py
@@ -12,12 +12,8 @@
 
 from snipemount.decisions.membership import HEARTBEAT_PERIOD_MS, Member, Membership
 from snipemount.decisions.ownership import Ownership
-from snipemount.decisions.query_run import (
-    CancelExchange,
-    Finish,
-    QueryRun,
-    SendExchange,
-)
+from snipemount.decisions.query_run import QueryRun
+from snipemount.decisions.run_actions import CancelExchange, Finish, SendExchange
 from snipemount.decisions.service_state import ServiceState
 from snipemount.errors import ResultCode
 from snipemount.model.exchange import Attempt, ExchangeReply, Fate, Hit, Partial
