--- a/src/entry.py
+++ b/src/entry.py
@@ -11,7 +11,6 @@
 from snipemount.entry_daemon import serve
 from snipemount.errors import SnipemountError
 
-
 GC_THRESHOLDS = (10_000, 20, 50)  # a query over 90 shards makes 2,000 objects
 
 
