Serving path: latencies of late in a module of their own, what nothing reads is gone

Reading the diff: RecentLatencies stood beside another estimator; a flag of the ready connections and a table of one status had no use. No change of behaviour.

--- a/src/snipemount/decisions/answer_timing.py
+++ b/src/snipemount/decisions/answer_timing.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from ..model.configuration import ToAllShards
-from .quantile import QuantileEstimate, RecentLatencies
+from .quantile import QuantileEstimate
+from .recent_latencies import RecentLatencies
 
 if TYPE_CHECKING:
     from ..model.configuration import Route
--- a/src/snipemount/serving/ready_connections.py
+++ b/src/snipemount/serving/ready_connections.py
@@ -39,7 +39,6 @@
         self._left: list[str] = []
         self._version = 0
         self._rest_until_ms = 0.0
-        self.complete = False
 
     def start(self) -> None:
         """Begin the rounds."""
@@ -61,14 +60,11 @@
         self._open_some()
 
     def _open_some(self) -> None:
-        if not self._left:
-            return
         some, self._left = self._left[:MOST_A_TICK], self._left[MOST_A_TICK:]
         for shard in some:
             leaf = self._first_choice(shard)
             if leaf is not None:
                 self._around.leafs.keep_ready(leaf)
-        self.complete = self.complete or not self._left
 
     def _first_choice(self, shard: str) -> Leaf | None:
         around = self._around
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -21,7 +21,6 @@
 SERVER_ERROR = 500
 SILENT_RATIO = 3.0
 HEDGE_SHARE = 0.8  # the rest is for sends after a failure or a refusal
-STATUS_TEXTS = {200: "200"}
 NO_SIGN_OF_LIFE = (
     NotRun(NotRunReason.UNREACHABLE),
     NotRun(NotRunReason.NO_CONNECTION),
@@ -206,7 +205,7 @@
     def _note(self, leg: Leg, report: LegReport, now_ms: float) -> None:
         match report.outcome:
             case LeafAnswer(status=status):
-                result = STATUS_TEXTS.get(status) or str(status)
+                result = str(status)
             case NotRun(reason):
                 result = reason.value
             case Lost(lost):
