--- a/src/snipemount/soak/proxy.py
+++ b/src/snipemount/soak/proxy.py
@@ -108,6 +108,8 @@
                 lost = self._link is Link.SILENT or (
                     self._link is Link.ONE_WAY and backwards
                 )
+                if writer.transport.is_closing():
+                    return
                 if not lost:
                     writer.write(data)
                     await writer.drain()
--- a/tests/settings/settings.feature
+++ b/tests/settings/settings.feature
@@ -41,3 +41,8 @@
       | reference codes                     |
       | move start finder v2 --within-s 60  |
       | replay trace.jsonl                  |
+
+  # Without it the platform names no seeds, and a daemon that starts while the store is
+  # away knows no other daemon to learn the configuration from.
+  Scenario: The deploy file has the role serve what the platform makes seeds of
+    Then the role of the deploy file serves "edge, control_plane"
