Nothing more is sent to an address that another leaf has now

Leafs end while the store is silent, and their addresses go to leafs of other services. A daemon whose query was answered "another leaf" (421) paused that leaf for 0.25 to 2 s and asked again. The query has a leg of its own at the service that has the address now, so each such send counts there as a second one.

Ruled out: the budget (145 of 151 allowed), sends after "no connection" (95 at the same service, by chance, but they are first arrivals), restarts, the register.

Change: after such an answer a leaf gets nothing for 10 s, or until its entry names a new address; a log line tells of it.

--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -16,6 +16,7 @@
 RETURN_GRACE_MS = 2200.0  # entries that lapsed in an outage are back by then
 MASS_REMOVAL_SHARE = 0.25
 MASS_REMOVAL_LEAST = 4
+ELSEWHERE_MS = 10_000.0  # until its entry has lapsed, or has its new address
 
 
 class LeafDirectory:
@@ -29,6 +30,7 @@
         self._leafs: dict[str, LeafState] = {}
         self._services: defaultdict[str, dict[str, LeafState]] = defaultdict(dict)
         self._usable: dict[str, list[LeafState]] = {}
+        self._elsewhere: dict[str, float] = {}
         self._doubted: set[str] = set()
         self._closed_zones: frozenset[str] = frozenset()
         self._held_versions: dict[str, str] = {}
@@ -65,6 +67,25 @@
         old = [state for state in states if state.leaf.version != held]
         return old or states
 
+    def elsewhere(self, leaf_id: str, now_ms: float) -> None:
+        """Note that another leaf answers at the address that a leaf's entry names.
+
+        Nothing is sent there meanwhile: what arrives counts as load of the service that
+        has the address now.
+        """
+        self._elsewhere[leaf_id] = now_ms + ELSEWHERE_MS
+
+    def at_their_address(
+        self, states: list[LeafState], now_ms: float
+    ) -> list[LeafState]:
+        """Return the leafs of which no other one has the address."""
+        if not self._elsewhere:
+            return states
+        ended = [name for name, end in self._elsewhere.items() if end <= now_ms]
+        for leaf_id in ended:
+            del self._elsewhere[leaf_id]
+        return [s for s in states if s.leaf.leaf_id not in self._elsewhere]
+
     def hold_versions(self, held: dict[str, str]) -> None:
         """Keep these versions of services unused while others have leafs."""
         self._held_versions = held
@@ -148,6 +169,7 @@
 
     def _drop(self, leaf_id: str) -> Leaf | None:
         self._doubted.discard(leaf_id)
+        self._elsewhere.pop(leaf_id, None)
         state = self._leafs.pop(leaf_id, None)
         if state is None:
             return None
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -242,7 +242,14 @@
                 leg.state.refused(leg.number, now_ms)
             case NotRunReason.OTHER_LEAF:
                 leg.state.lost(leg.number, True, now_ms)
+                self._around.directory.elsewhere(leg.state.leaf.leaf_id, now_ms)
                 self._around.leafs.forget(leg.state.leaf)
+                self._around.logger.info(
+                    "leaf_elsewhere",
+                    leaf=leg.state.leaf.leaf_id,
+                    service=self.service,
+                    request=self._request.request_id,
+                )
         self._try_again()
 
     def _try_again(self) -> None:
--- a/src/snipemount/serving/surroundings.py
+++ b/src/snipemount/serving/surroundings.py
@@ -102,6 +102,7 @@
     def candidates(self, service: str) -> list[LeafState]:
         """Return the leafs of a service that may be asked and can be reached."""
         states = self.directory.service_states(service)
+        states = self.directory.at_their_address(states, self.timers.now_ms())
         if self.reach.cut_off_zones():
             states = [s for s in states if not self.reach.is_cut_off(s.leaf.zone)]
         stated_per_s = self.cold_requests_per_s(service)
--- a/tests/serving/second_sends.feature
+++ b/tests/serving/second_sends.feature
@@ -8,6 +8,21 @@
     Then right after its start it grants no second send
     And 10 s after its start it grants 3 second sends
 
+  # Pattern: leafs end while the store is away, and their addresses go to leafs of another
+  # service: what is sent there counts as that service's extra load.
+  Scenario: Where another leaf has the address, nothing more is sent
+    Given a serving path with two leafs a shard
+    When shards 3 to 3 have leafs in zone-b that take 140 ms
+    And the address of the leaf of shard 3 in zone-a has gone to another leaf
+    And 80 queries are asked, 100 ms apart
+    Then the leaf of shard 3 in zone-a got at most 1 of them
+    When 40 queries are asked, 100 ms apart
+    Then the leaf of shard 3 in zone-a got at most 2 of them
+    When its entry names a new address
+    And a query is asked
+    And 200 ms pass
+    Then the leaf of shard 3 in zone-a answered it
+
   # Pattern: planned or forced restarts of all daemons within one window, second sends wanted throughout.
   Scenario: All daemons restart at once, having spent what they may
     Then 7 daemons that restart together stay within the bound in every window
--- a/tests/steps/ready_steps.py
+++ b/tests/steps/ready_steps.py
@@ -1,9 +1,10 @@
-"""Steps on connections that are open before queries need them."""
+"""Steps on connections: those that are ready, and addresses that others have."""
 
 from __future__ import annotations
 
+import attrs
 from behave import given, then, when
-from serving_steps import arrivals_of, last
+from serving_steps import SHARDS, arrivals_of, last
 
 from snipemount.serving.ready_connections import ReadyConnections
 
@@ -71,3 +72,31 @@
     context.budget.give_back(unused)
     granted = sum(context.budget.take(10_000.0) for _ in range(100))
     assert granted == count, granted
+
+
+@when("the address of the leaf of shard {number:d} in {zone} has gone to another leaf")
+def step_gone_to_another(context, number, zone):
+    context.moved = f"{SHARDS[number]}-{zone}"
+    context.serving.leafs.scripts[context.moved].other = True
+
+
+@then("the leaf of shard {number:d} in {zone} got at most {count:d} of them")
+def step_got_few(context, number, zone, count):
+    arrivals = context.serving.leafs.arrivals
+    got = [leaf for _, leaf, _ in arrivals if leaf == f"{SHARDS[number]}-{zone}"]
+    assert len(got) <= count, len(got)
+
+
+@when("its entry names a new address")
+def step_new_entry(context):
+    world = context.serving
+    known = world.directory.known(context.moved).leaf
+    world.leafs.scripts[context.moved].other = False
+    moved = attrs.evolve(known, port=known.port + 1)
+    world.directory.put(moved, world.timers.now_ms())
+
+
+@then("the leaf of shard {number:d} in {zone} answered it")
+def step_answered_it(context, number, zone):
+    receipts = last(context).outcome.receipts
+    assert f"ran.{SHARDS[number]}-{zone}" in receipts, receipts
