Tests: unused second sends, and entries that change between two queries

Taking mechanisms out one at a time showed two that no test noticed: the give-back in a call (only the bucket was tested) and the usable leafs being worked out anew when an entry changes. Each has a scenario now, seen failing with its mechanism taken out. Noticed by earlier tests: exploration, ready connections, the empty bucket at a start, the deploy file.

--- a/tests/serving/directory.feature
+++ b/tests/serving/directory.feature
@@ -59,3 +59,12 @@
     And 8 entries are removed
     Then the directory has 12 leafs
     And 3000 ms later the directory has 4 leafs
+
+  Scenario: An entry that changes after a query counts for the next one
+    Given a serving path with two leafs a shard
+    When a query is asked
+    And 200 ms pass
+    And the entry of the leaf of shard 3 in zone-a says that it leaves
+    And a query is asked
+    And 200 ms pass
+    Then the leaf of shard 3 in zone-a did not get the query
--- a/tests/serving/second_sends.feature
+++ b/tests/serving/second_sends.feature
@@ -26,3 +26,11 @@
   # Pattern: planned or forced restarts of all daemons within one window, second sends wanted throughout.
   Scenario: All daemons restart at once, having spent what they may
     Then 7 daemons that restart together stay within the bound in every window
+
+  Scenario: A second send whose connection was still opening costs nothing
+    Given a serving path with two leafs a shard
+    When shards 3 to 3 have leafs in zone-a that take 120 ms
+    And second sends are still connecting when they are cancelled
+    And 5 queries are asked, 5 ms apart
+    And 200 ms pass
+    Then shard 3 has as many second sends left as any other
--- a/tests/steps/ready_steps.py
+++ b/tests/steps/ready_steps.py
@@ -100,3 +100,47 @@
 def step_answered_it(context, number, zone):
     receipts = last(context).outcome.receipts
     assert f"ran.{SHARDS[number]}-{zone}" in receipts, receipts
+
+
+@when("second sends are still connecting when they are cancelled")
+def step_connecting(context):
+    leafs = context.serving.leafs
+    send = leafs.send
+
+    def connecting(leaf, request, time_left_ms, done):
+        handle = send(leaf, request, time_left_ms, done)
+        if leaf.leaf_id.endswith("zone-b"):
+            handle.cancel()
+            handle.cancel = lambda: False
+        return handle
+
+    leafs.send = connecting
+
+
+@then("shard {number:d} has as many second sends left as any other")
+def step_left(context, number):
+    world = context.serving
+    now_ms = world.timers.now_ms()
+    assert any(
+        leaf == f"{SHARDS[number]}-zone-b" for _, leaf, _ in world.leafs.arrivals
+    )
+
+    def left(shard):
+        budget = world.around.budget(shard)
+        return sum(budget.take(now_ms) for _ in range(100))
+
+    assert left(SHARDS[number]) == left(SHARDS[0]) > 0
+
+
+@when("the entry of the leaf of shard {number:d} in {zone} says that it leaves")
+def step_leaves(context, number, zone):
+    world = context.serving
+    known = world.directory.known(f"{SHARDS[number]}-{zone}").leaf
+    world.directory.put(attrs.evolve(known, draining=True), world.timers.now_ms())
+
+
+@then("the leaf of shard {number:d} in {zone} did not get the query")
+def step_not_got(context, number, zone):
+    arrived = arrivals_of(context, last(context).request_id)
+    assert arrived
+    assert f"{SHARDS[number]}-{zone}" not in arrived
