Log and count the stages of a query over all shards

Change: attempts report the bytes read and the time to connect; a query reports when its attempts had started, when the first, median and last shard answered, and the loop's lag. request_ended and three metrics carry them, started states cores and link of the VM. No routing decision changes.

--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..model.query_stages import QueryStages
+
 MS_PER_S = 1000.0
 MAX_ROUTE_LABELS = 200  # further routes share one label
 OTHER_ROUTES_LABEL = "other"
@@ -64,6 +66,24 @@
             ("call", "result"),
             registry=registry,
         )
+        self._stages = Histogram(
+            "snipemount_query_stage_seconds",
+            "Time from a query's arrival to the end of a stage; for `connect` the"
+            " longest time that one of its attempts took to connect.",
+            ("stage",),
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self._query_bytes = Counter(
+            "snipemount_query_bytes_read",
+            "Bytes read from leafs for queries over all shards.",
+            registry=registry,
+        )
+        self._query_connections = Counter(
+            "snipemount_query_connections_opened",
+            "Attempts of queries over all shards that opened a connection.",
+            registry=registry,
+        )
 
     def add_gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
@@ -100,6 +120,19 @@
         """Count a call to the platform's store by result."""
         self._store_calls.labels(call, result).inc()
 
+    def query_stages(self, stages: QueryStages) -> None:
+        """Record the stages of a query over all shards."""
+        for stage, time_ms in (
+            ("sent", stages.sent_ms),
+            ("connect", stages.connect_ms),
+            ("first_part", stages.first_part_ms),
+            ("median_part", stages.median_part_ms),
+            ("last_part", stages.last_part_ms),
+        ):
+            self._stages.labels(stage).observe(time_ms / MS_PER_S)
+        self._query_bytes.inc(stages.bytes_read)
+        self._query_connections.inc(stages.connections_opened)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -156,7 +156,13 @@
         self._timers.call_every(LOG_FLUSH_PERIOD_MS, self._flush_log)
         self._timers.call_every(RELOAD_PERIOD_MS, self._reload)
         self._timers.call_every(ZONE_PROBE_PERIOD_MS, self._context.probe_zones)
-        self.logger.info("started", zone=own.zone, callers=own.callers.port)
+        self.logger.info(
+            "started",
+            zone=own.zone,
+            callers=own.callers.port,
+            cores=round(own.capacity.cores, 2),
+            link_mbps=own.capacity.link_mbps,
+        )
         await self._stopping.wait()
         await self._stop(listener)
 
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -7,6 +7,8 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+import attrs
+
 from ..model.forwarding import NotRun, NotRunReason
 from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort
 from .leaf_connection import LeafConnection, LeafConnectionState
@@ -28,12 +30,14 @@
     """An attempt that waits for a connection or for its response.
 
     `done` is None once the attempt has been reported or cancelled; `connection` is
-    None until the request has been written.
+    None until the request has been written; `connect_ms` is the time that a new
+    connection took.
     """
 
     def __init__(self, done: Callable[[AttemptReport], None]) -> None:
         self.done: Callable[[AttemptReport], None] | None = done
         self.connection: LeafConnection | None = None
+        self.connect_ms = 0.0
 
     def cancel(self) -> bool:
         """Abort the connection in use; one that is still opening goes to the pool.
@@ -55,8 +59,11 @@
         done = self.done
         self.done = None
         self.connection = None
-        if done is not None:
-            done(report)
+        if done is None:
+            return
+        if self.connect_ms > 0.0:
+            report = attrs.evolve(report, connect_ms=self.connect_ms)
+        done(report)
 
 
 class Pool:
@@ -224,7 +231,8 @@
         if attempt.done is None:
             self._release(pool, connection)
             return
-        left_ms = time_left_ms - (self._timers.now_ms() - started_ms)
+        attempt.connect_ms = self._timers.now_ms() - started_ms
+        left_ms = time_left_ms - attempt.connect_ms
         self._send_on(connection, attempt, leaf, request, left_ms)
 
     async def _connect(self, pool: Pool, leaf: Leaf) -> LeafConnection:
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -80,6 +80,7 @@
         self._message: Any = None
         self._payload: Any = None
         self._body = bytearray()
+        self._bytes_read = 0
         self.state = LeafConnectionState.IDLE
         self.idle_limit_ms = UNUSED_IDLE_LIMIT_MS
         self.idle_since_ms = 0.0
@@ -110,6 +111,7 @@
         self._request_id = request.request_id
         self._message = None
         self._body.clear()
+        self._bytes_read = 0
         self._parser = HttpResponseParser(
             self._flow,
             self._loop,
@@ -146,6 +148,7 @@
         if self._parser is None or self._done is None:
             self.close()
             return
+        self._bytes_read += len(data)
         try:
             messages, _, tail = self._parser.feed_data(data)
             self._unexpected_data = self._unexpected_data or bool(tail)
@@ -241,7 +244,7 @@
         else:
             self.close()
         if done is not None:
-            done(AttemptReport(outcome, load))
+            done(AttemptReport(outcome, load, self._bytes_read))
 
 
 def encode_request(leaf: Leaf, request: ForwardRequest, time_left_ms: float) -> bytes:
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -25,6 +25,22 @@
     port: int
 
 
+@attrs.frozen
+class VmCapacity:
+    """Processor and network link that the platform gives to this VM.
+
+    Parameters
+    ----------
+    cores : float
+        Processor time per second, in cores of the usual speed, for one thread.
+    link_mbps : float
+        Bandwidth of the VM's link in Mbit/s; 0 when the platform states none.
+    """
+
+    cores: float
+    link_mbps: float
+
+
 @attrs.frozen
 class GuaranteeBounds:
     """Bounds that the operators set for the guarantees.
@@ -81,6 +97,8 @@
         IP addresses of some VMs with a daemon; may be out of date.
     first_start : bool
         Whether the whole system is being started for the first time.
+    capacity : VmCapacity
+        Processor and link of the VM.
     bounds : GuaranteeBounds
         Bounds that the operators set for the guarantees.
     """
@@ -93,6 +111,7 @@
     peers: Endpoint
     seeds: tuple[str, ...]
     first_start: bool
+    capacity: VmCapacity
     bounds: GuaranteeBounds
 
 
@@ -134,6 +153,12 @@
         peers=Endpoint(fields.text("ip"), fields.first_port("port_range")),
         seeds=fields.hosts("seeds"),
         first_start=fields.flag("bootstrap"),
+        capacity=VmCapacity(
+            # A share of each core, and how many times as fast as usual they are.
+            cores=fields.number("limits.cpu_share", 1.0)
+            * fields.number("limits.cpu_cores", 1.0),
+            link_mbps=fields.number("limits.link_mbps", 0.0),
+        ),
         bounds=GuaranteeBounds(
             drain_ms=fields.number("bounds.drain_ms", 3000.0),
             grace_ms=fields.number("bounds.grace_s", 6.0) * MS_PER_S,
@@ -201,6 +226,7 @@
     "Endpoint",
     "GuaranteeBounds",
     "NodeSettings",
+    "VmCapacity",
     "node_file_path",
     "parse_node_file",
     "read_node_file",
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -24,10 +24,16 @@
         Response of the leaf, or why there is none.
     load : LoadReport or None
         Load that the leaf reported; None when it reported none.
+    bytes_read : int
+        Bytes read for this attempt, headers included.
+    connect_ms : float
+        Time spent on opening a connection; 0 when one was open.
     """
 
     outcome: AttemptOutcome
     load: LoadReport | None = None
+    bytes_read: int = 0
+    connect_ms: float = 0.0
 
 
 class AttemptHandle(ABC):
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..model.query_stages import QueryStages
 
 
 class ServingMetrics(ABC):
@@ -24,6 +28,10 @@
     def store_call(self, call: str, result: str) -> None:
         """Count a call to the platform's store by its result."""
 
+    @abstractmethod
+    def query_stages(self, stages: QueryStages) -> None:
+        """Record how long the stages of a query over all shards took."""
+
 
 class NoServingMetrics(ServingMetrics):
     """Discards all metrics."""
@@ -40,5 +48,8 @@
     def store_call(self, call: str, result: str) -> None:
         """Do nothing."""
 
+    def query_stages(self, stages: QueryStages) -> None:
+        """Do nothing."""
+
 
 __all__ = ["NoServingMetrics", "ServingMetrics"]
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -15,6 +15,7 @@
 )
 from ..model.forwarding import RefusalReason, RequestRefused, UnknownRoute
 from .gather_run import GatherRun
+from .request_log import EndedRequest
 from .run import EndedRun
 from .single_run import SingleRun
 
@@ -124,7 +125,7 @@
         done: Callable[[RequestOutcome], None],
     ) -> Run:
         now_ms = self._context.timers.now_ms()
-        self._log.record_outcome(request, None, self.version, outcome, [], 0.0, now_ms)
+        self._log.record(EndedRequest(request, None, self.version, outcome), now_ms)
         done(outcome)
         return EndedRun()
 
@@ -140,11 +141,16 @@
 
         def on_ended(outcome: RequestOutcome) -> None:
             now_ms = self._context.timers.now_ms()
-            elapsed_ms = now_ms - started_ms
-            unanswered = run.unanswered()
-            self._log.record_outcome(
-                request, route, version, outcome, unanswered, elapsed_ms, now_ms
+            ended = EndedRequest(
+                request,
+                route,
+                version,
+                outcome,
+                now_ms - started_ms,
+                tuple(run.unanswered()),
+                run.stages(),
             )
+            self._log.record(ended, now_ms)
             done(outcome)
 
         run = self._make_run(route, request, started_ms, on_ended)
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -14,6 +14,7 @@
     RequestFailed,
     RequestRefused,
 )
+from ..model.query_stages import QueryStages
 from .request_log import Unanswered
 from .run import RETRY_AFTER_MS, RoutedRun
 from .service_call import ServiceCall
@@ -74,6 +75,7 @@
         self._next_check_ms = 0.0
         self._answer_due = False
         self._answer_after_ms = 0.0
+        self._sent_ms = 0.0
 
     def start(self) -> None:
         """Ask every shard; refuse at once if too few have a leaf that can be asked."""
@@ -89,6 +91,7 @@
         context.timers.call_later(self._answer_after_ms, self._on_answer_due)
         for call in self._calls:
             call.start()
+        self._sent_ms = context.timers.now_ms() - self._started_ms
 
     def unanswered(self) -> list[Unanswered]:
         """Return the shards without a successful answer, with their attempts."""
@@ -98,6 +101,21 @@
             if call.answer is None or not call.answer.succeeded
         ]
 
+    def stages(self) -> QueryStages:
+        """Return what the query has spent its time on so far."""
+        parts_ms = sorted(c.answered_ms for c in self._calls if c.answer is not None)
+        parts_ms = [time_ms - self._started_ms for time_ms in parts_ms] or [0.0]
+        return QueryStages(
+            sent_ms=self._sent_ms,
+            connections_opened=sum(call.connections_opened for call in self._calls),
+            connect_ms=max(call.connect_ms for call in self._calls),
+            first_part_ms=parts_ms[0],
+            median_part_ms=parts_ms[len(parts_ms) // 2],
+            last_part_ms=parts_ms[-1],
+            bytes_read=sum(call.bytes_read for call in self._calls),
+            loop_lag_ms=self._context.lag.value_ms,
+        )
+
     def _check_late_calls(self) -> None:
         if self._ended:
             return
--- a/src/snipemount/serving/request_log.py
+++ b/src/snipemount/serving/request_log.py
@@ -1,4 +1,4 @@
-"""Log of requests that were not answered in full, with a bounded rate of lines."""
+"""Log of requests that ended late or incomplete, with a bounded rate of lines."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest, RequestOutcome
+    from ..model.query_stages import QueryStages
     from ..ports.serving_metrics import ServingMetrics
 
 COMPLETE = "complete"
@@ -44,8 +45,46 @@
     attempts: str
 
 
+@attrs.frozen
+class EndedRequest:
+    """A request that has ended, as the log and the metrics see it.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        Request of the caller.
+    route : Route or None
+        Its route, if one was found.
+    version : int
+        Version of the configuration under which it was served.
+    outcome : RequestOutcome
+        Its outcome.
+    elapsed_ms : float
+        Time from its arrival to its outcome.
+    unanswered : tuple of Unanswered
+        Services without an answer.
+    stages : QueryStages or None
+        Stages of a query over all shards that ran in this daemon.
+    """
+
+    request: ForwardRequest
+    route: Route | None
+    version: int
+    outcome: RequestOutcome
+    elapsed_ms: float = 0.0
+    unanswered: tuple[Unanswered, ...] = ()
+    stages: QueryStages | None = None
+
+    @property
+    def is_late(self) -> bool:
+        """Whether a query over all shards ended after its latency objective."""
+        if self.route is None or self.stages is None:
+            return False
+        return self.elapsed_ms > self.route.latency_objective_ms
+
+
 class RequestLog:
-    """Counts all outcomes and logs those that are not complete.
+    """Counts all outcomes and logs those that are not complete, or late.
 
     A token bucket bounds the rate of lines; dropped lines are counted and logged.
 
@@ -64,50 +103,34 @@
         self._refilled_ms = 0.0
         self._dropped = 0
 
-    def record_outcome(
-        self,
-        request: ForwardRequest,
-        route: Route | None,
-        version: int,
-        outcome: RequestOutcome,
-        unanswered: list[Unanswered],
-        elapsed_ms: float,
-        now_ms: float,
-    ) -> None:
-        """Count an outcome, and log it unless it is complete or the rate is exceeded.
+    def record(self, ended: EndedRequest, now_ms: float) -> None:
+        """Count an outcome, and log it unless it is complete and on time.
 
         Parameters
         ----------
-        request : ForwardRequest
-            Request that has ended.
-        route : Route or None
-            Its route, if one was found.
-        version : int
-            Version of the configuration under which it was served.
-        outcome : RequestOutcome
-            Its outcome.
-        unanswered : list of Unanswered
-            Services without an answer; the log names the first few.
-        elapsed_ms : float
-            Duration of the request.
+        ended : EndedRequest
+            Request that has ended; the log names the first few unanswered services.
         now_ms : float
             Monotonic time, which refills the token bucket.
         """
-        result = result_text(outcome)
-        name = "" if route is None else route.name
-        self._metrics.request(name, result.partition(":")[0], elapsed_ms)
-        if result == COMPLETE or not self._may_write(now_ms):
+        result = result_text(ended.outcome)
+        name = "" if ended.route is None else ended.route.name
+        self._metrics.request(name, result.partition(":")[0], ended.elapsed_ms)
+        if ended.stages is not None:
+            self._metrics.query_stages(ended.stages)
+        if (result == COMPLETE and not ended.is_late) or not self._may_write(now_ms):
             return
-        named = unanswered[:MAX_SERVICES_NAMED]
+        named = ended.unanswered[:MAX_SERVICES_NAMED]
         self._logger.info(
             "request_ended",
-            request=request.request_id,
+            request=ended.request.request_id,
             route=name,
             result=result,
-            configuration=version,
-            elapsed_ms=round(elapsed_ms, 1),
-            deadline_ms=request.deadline_ms,
+            configuration=ended.version,
+            elapsed_ms=round(ended.elapsed_ms, 1),
+            deadline_ms=ended.request.deadline_ms,
             unanswered=" ".join(f"{item.service}[{item.attempts}]" for item in named),
+            **_stage_fields(ended.stages),
         )
 
     def _may_write(self, now_ms: float) -> bool:
@@ -124,6 +147,20 @@
         return True
 
 
+def _stage_fields(stages: QueryStages | None) -> dict[str, object]:
+    if stages is None:
+        return {}
+    parts_ms = (stages.first_part_ms, stages.median_part_ms, stages.last_part_ms)
+    return {
+        "sent_ms": round(stages.sent_ms, 1),
+        "opened": stages.connections_opened,
+        "connect_ms": round(stages.connect_ms, 1),
+        "parts_ms": "/".join(f"{time_ms:.0f}" for time_ms in parts_ms),
+        "bytes_read": stages.bytes_read,
+        "loop_lag_ms": round(stages.loop_lag_ms, 1),
+    }
+
+
 def result_text(outcome: RequestOutcome) -> str:
     """Return the outcome's name, with its detail after a colon if it has one."""
     match outcome:
@@ -139,4 +176,4 @@
             return "unknown_route"
 
 
-__all__ = ["RequestLog", "Unanswered", "result_text"]
+__all__ = ["EndedRequest", "RequestLog", "Unanswered", "result_text"]
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -10,6 +10,7 @@
 
     from ..model.configuration import Route
     from ..model.forwarding import FailureReason, RequestOutcome
+    from ..model.query_stages import QueryStages
     from .context import ServingContext
     from .request_log import Unanswered
 
@@ -27,6 +28,10 @@
     def unanswered(self) -> list[Unanswered]:
         """Return the services without an answer and their attempts, for the log."""
 
+    def stages(self) -> QueryStages | None:
+        """Return the stages of a query over all shards; None for other requests."""
+        return None
+
 
 class EndedRun(Run):
     """A request that ended without asking any leaf."""
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -78,6 +78,14 @@
         Answer other than a server error.
     failure : LeafAnswer or None
         Latest server error.
+    answered_ms : float
+        Monotonic time of the answer; 0 before it.
+    bytes_read : int
+        Bytes read from leafs.
+    connections_opened : int
+        Number of attempts that opened a connection.
+    connect_ms : float
+        Longest time that an attempt waited for its connection.
     """
 
     def __init__(
@@ -105,6 +113,10 @@
         self.settled = False
         self.answer: LeafAnswer | None = None
         self.failure: LeafAnswer | None = None
+        self.answered_ms = 0.0
+        self.bytes_read = 0
+        self.connections_opened = 0
+        self.connect_ms = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -256,6 +268,9 @@
                 result = reason.value
             case NoValidResponse(no_response):
                 result = no_response.value
+        self.bytes_read += report.bytes_read
+        self.connections_opened += report.connect_ms > 0.0
+        self.connect_ms = max(self.connect_ms, report.connect_ms)
         took_ms = now_ms - attempt.sent_ms
         self._context.metrics.attempt(attempt.state.leaf.zone, result, took_ms)
         self._ended_attempts.append((attempt.state.leaf.leaf_id, result, took_ms))
@@ -267,6 +282,7 @@
             attempt.state.answered(attempt.number, self._timing.typical_ms, now_ms)
             self._timing.add(attempt.state.leaf.zone, now_ms - attempt.sent_ms)
             self.answer = answer
+            self.answered_ms = now_ms
             self._settle()
             return
         attempt.state.failed(attempt.number, now_ms)
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -32,6 +32,8 @@
     ----------
     work_ms : float
         Duration of a request.
+    connect_ms : float
+        Time that a connection takes before each request; 0 when one is open.
     status : int
         HTTP status of the responses.
     paused_until_ms : float
@@ -55,6 +57,7 @@
     """
 
     work_ms: float = 10.0
+    connect_ms: float = 0.0
     status: int = 200
     paused_until_ms: float = 0.0
     unresponsive: bool = False
@@ -132,7 +135,7 @@
         self.in_progress[leaf.leaf_id] += 1
         if script.unresponsive:
             return ScriptedAttempt(None, lambda: self._record_cancel(leaf))
-        start_ms = max(0.0, script.paused_until_ms - now_ms)
+        start_ms = max(script.connect_ms, script.paused_until_ms - now_ms)
         report = self._report(leaf, script)
         return self._report_later(start_ms + script.work_ms, leaf, done, report)
 
@@ -181,7 +184,7 @@
         receipt = f"ran.{leaf.leaf_id}"
         headers = (("Receipt", receipt),)
         answer = LeafAnswer(script.status, headers, script.body, receipt)
-        return AttemptReport(answer, script.load)
+        return AttemptReport(answer, script.load, len(script.body), script.connect_ms)
 
 
 __all__ = ["Script", "ScriptedLeafs"]
