--- /dev/null
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -0,0 +1,192 @@
+"""CBOR codec for the messages between a delegating daemon and a coordinator."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+
+from ..errors import DecodeError
+from ..model.delegation import (
+    CoordinatorStopping,
+    DeclineReason,
+    DelegatedQuery,
+    DelegationMessage,
+    QueryAccepted,
+    QueryCancelled,
+    QueryDeclined,
+    QueryEnded,
+    QueryRunning,
+)
+from ..model.forwarding import (
+    FailureReason,
+    ForwardRequest,
+    Merged,
+    RefusalReason,
+    RequestFailed,
+    RequestOutcome,
+    RequestRefused,
+)
+
+QUERY = 0
+ACCEPTED = 1
+DECLINED = 2
+RUNNING = 3
+ENDED = 4
+CANCELLED = 5
+STOPPING = 6
+
+MERGED = 0
+REFUSED = 1
+FAILED = 2
+
+
+def encode_delegation(message: DelegationMessage) -> bytes:
+    """Encode a message as a frame."""
+    return cbor2.dumps(_encode_message(message))
+
+
+def _encode_message(message: DelegationMessage) -> list[Any]:
+    match message:
+        case DelegatedQuery():
+            return [QUERY, *_encode_query(message)]
+        case QueryAccepted(query_id):
+            return [ACCEPTED, query_id]
+        case QueryDeclined(query_id, reason):
+            return [DECLINED, query_id, reason.value]
+        case QueryRunning(query_id):
+            return [RUNNING, query_id]
+        case QueryEnded(query_id, outcome, ran_ms):
+            return [ENDED, query_id, _encode_outcome(outcome), ran_ms]
+        case QueryCancelled(query_id):
+            return [CANCELLED, query_id]
+        case CoordinatorStopping():
+            return [STOPPING]
+
+
+def decode_delegation(frame: bytes) -> DelegationMessage:
+    """Decode the message in a frame.
+
+    Raises
+    ------
+    DecodeError
+        When the frame is not CBOR or not a message of this protocol.
+    """
+    try:
+        return _decode_message(cbor2.loads(frame))
+    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as error:
+        raise DecodeError(f"delegation: {error!r}") from error
+
+
+def _decode_message(document: list[Any]) -> DelegationMessage:
+    tag, *fields = document
+    if tag == QUERY:
+        return _decode_query(fields)
+    if tag == ACCEPTED:
+        return QueryAccepted(_integer(*fields))
+    if tag == DECLINED:
+        query_id, reason = fields
+        return QueryDeclined(_integer(query_id), DeclineReason(reason))
+    if tag == RUNNING:
+        return QueryRunning(_integer(*fields))
+    if tag == ENDED:
+        query_id, outcome, ran_ms = fields
+        return QueryEnded(_integer(query_id), _decode_outcome(outcome), float(ran_ms))
+    if tag == CANCELLED:
+        return QueryCancelled(_integer(*fields))
+    if tag == STOPPING and not fields:
+        return CoordinatorStopping()
+    raise ValueError(f"unknown message type {tag!r}")
+
+
+def _encode_query(query: DelegatedQuery) -> list[Any]:
+    request = query.request
+    return [
+        query.query_id,
+        query.sender,
+        query.version,
+        query.answer_within_ms,
+        query.time_left_ms,
+        query.is_repeat,
+        _to_bytes(request.request_id),
+        request.method,
+        _to_bytes(request.target),
+        _to_bytes(request.host),
+        [[_to_bytes(name), _to_bytes(value)] for name, value in request.headers],
+        request.body,
+        request.deadline_ms,
+    ]
+
+
+def _decode_query(fields: list[Any]) -> DelegatedQuery:
+    query_id, sender, version, answer_within_ms, time_left_ms, is_repeat = fields[:6]
+    request_id, method, target, host, headers, body, deadline_ms = fields[6:]
+    if not isinstance(body, bytes):
+        raise TypeError("the request's body is not a byte string")
+    request = ForwardRequest(
+        request_id=_to_text(request_id),
+        method=str(method),
+        target=_to_text(target),
+        host=_to_text(host),
+        headers=tuple((_to_text(name), _to_text(value)) for name, value in headers),
+        body=body,
+        deadline_ms=None if deadline_ms is None else float(deadline_ms),
+    )
+    return DelegatedQuery(
+        _integer(query_id),
+        str(sender),
+        request,
+        _integer(version),
+        float(answer_within_ms),
+        float(time_left_ms),
+        bool(is_repeat),
+    )
+
+
+def _encode_outcome(outcome: RequestOutcome) -> list[Any]:
+    match outcome:
+        case Merged(receipts, missing, body):
+            return [MERGED, [_to_bytes(text) for text in receipts], missing, body]
+        case RequestRefused(reason, retry_after_ms):
+            return [REFUSED, reason.value, retry_after_ms]
+        case RequestFailed(failure):
+            return [FAILED, failure.value]
+        case _:
+            raise TypeError(f"{type(outcome).__name__} is not an outcome of a query")
+
+
+def _decode_outcome(fields: list[Any]) -> RequestOutcome:
+    tag, *rest = fields
+    if tag == MERGED:
+        receipts, missing, body = rest
+        if not isinstance(body, bytes):
+            raise TypeError("the answer's body is not a byte string")
+        texts = tuple(_to_text(receipt) for receipt in receipts)
+        return Merged(texts, _integer(missing), body)
+    if tag == REFUSED:
+        reason, retry_after_ms = rest
+        return RequestRefused(RefusalReason(reason), float(retry_after_ms))
+    if tag == FAILED:
+        (failure,) = rest
+        return RequestFailed(FailureReason(failure))
+    raise ValueError(f"unknown outcome {tag!r}")
+
+
+def _integer(value: Any) -> int:
+    if not isinstance(value, int):
+        raise TypeError(f"{value!r} is not an integer")
+    return value
+
+
+def _to_bytes(text: str) -> bytes:
+    """Return header text as the caller's bytes, which may not be valid UTF-8."""
+    return text.encode("utf-8", "surrogateescape")
+
+
+def _to_text(data: Any) -> str:
+    if not isinstance(data, bytes):
+        raise TypeError(f"{data!r} is not a byte string")
+    return data.decode("utf-8", "surrogateescape")
+
+
+__all__ = ["decode_delegation", "encode_delegation"]
--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -74,6 +74,12 @@
             buckets=BUCKETS_S,
             registry=registry,
         )
+        self._delegations = Counter(
+            "snipemount_delegations",
+            "Queries given to a coordinator, by what became of them.",
+            ("result",),
+            registry=registry,
+        )
         self._query_bytes = Counter(
             "snipemount_query_bytes_read",
             "Bytes read from leafs for queries over all shards.",
@@ -120,6 +126,10 @@
         """Count a call to the platform's store by result."""
         self._store_calls.labels(call, result).inc()
 
+    def delegation(self, result: str) -> None:
+        """Count a query that was given to a coordinator."""
+        self._delegations.labels(result).inc()
+
     def query_stages(self, stages: QueryStages) -> None:
         """Record the stages of a query over all shards."""
         for stage, time_ms in (
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -11,6 +11,10 @@
 
 from aiohttp import web
 
+from .adapters.delegation_websocket import (
+    WebsocketDelegationClient,
+    WebsocketDelegationServer,
+)
 from .adapters.prometheus_metrics import PrometheusMetrics
 from .adapters.relay_websocket import WebsocketRelay
 from .bounded_writer import BoundedWriter
@@ -18,6 +22,7 @@
 from .decisions.extra_attempts import ExtraAttemptLimit
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
+from .decisions.vm_capacity import legs_per_s, max_running_legs
 from .decisions.zone_reachability import ZoneReachability
 from .errors import SettingsError
 from .logs import make_logger
@@ -28,6 +33,8 @@
 from .platform.store_client import StoreClient
 from .ports.relay import DaemonAddress
 from .serving.context import ServingContext
+from .serving.coordinator_links import CoordinatorLinks
+from .serving.delegated_queries import DelegatedQueries
 from .serving.gateway import Gateway
 from .serving.ready_connections import ReadyConnections
 from .serving.request_log import RequestLog
@@ -94,8 +101,29 @@
             _cold_limit(settings),
             settings.name,
             cold_requests_per_s=self._cold_requests_per_s,
+            is_shard=lambda service: service in self.gateway.shards,
+        )
+        own = _own_address(settings)
+        self._coordinators = CoordinatorLinks(
+            self._context,
+            WebsocketDelegationClient(self.logger),
+            own,
+            lambda: self.gateway.shards,
+        )
+        self.gateway = Gateway(
+            self._context,
+            RequestLog(self.logger, self._metrics),
+            self._coordinators,
+        )
+        self._delegated_queries = DelegatedQueries(
+            self._context, self.gateway, max_running_legs(own.legs_per_s)
+        )
+        self._delegation_server = WebsocketDelegationServer(
+            settings.queries.host,
+            settings.queries.port,
+            self._delegated_queries,
+            self.logger,
         )
-        self.gateway = Gateway(self._context, RequestLog(self.logger, self._metrics))
         store = settings.store
         self._store = StoreClient(
             PlatformSettings(f"http://{store.host}:{store.port}"), self._metrics
@@ -115,12 +143,15 @@
             self.gateway,
             self._context,
             PlatformDecoders(),
-            DaemonAddress(settings.name, settings.zone, peers.host, peers.port),
+            own,
             _seed_addresses(settings),
             self._random,
             self.logger,
+            self._coordinators.set_daemons,
+        )
+        self._caller_server = CallerServer(
+            self.gateway, lambda: self._delegated_queries.in_flight
         )
-        self._caller_server = CallerServer(self.gateway)
         self._register_gauges()
         self._stopping = asyncio.Event()
 
@@ -151,7 +182,9 @@
             self._caller_server, own.callers.host, own.callers.port, backlog=1024
         )
         await self._relay.listen()
+        await self._delegation_server.listen()
         self._store_feed.start(own.first_start)
+        self._coordinators.start()
         self._ready_connections.start()
         self._timers.call_every(LOG_FLUSH_PERIOD_MS, self._flush_log)
         self._timers.call_every(RELOAD_PERIOD_MS, self._reload)
@@ -200,6 +233,16 @@
             "ready", "Whether the balancer may send callers.", lambda: float(self.ready)
         )
         gauge("in_flight", "Requests in flight.", lambda: self._caller_server.in_flight)
+        gauge(
+            "delegated_in_flight",
+            "Queries in flight that other daemons delegate.",
+            lambda: self._delegated_queries.in_flight,
+        )
+        gauge(
+            "delegates",
+            "Whether queries over all shards are given to another daemon.",
+            lambda: float(gateway.delegates),
+        )
         gauge(
             "connections_opened",
             "Connections opened to leafs.",
@@ -243,8 +286,9 @@
         traits = self.gateway.traits(leaf.service)
         if traits is None:
             return DEFAULT_MAX_CONNECTIONS
-        limit = CONNECTION_SHARE * traits.max_connections / self._context.daemon_count
-        return max(1, int(limit))
+        limit = CONNECTION_SHARE * traits.max_connections
+        share = self._context.own_share(limit, leaf.leaf_id, leaf.service)
+        return max(1, int(share))
 
     def _cold_requests_per_s(self, service: str) -> float:
         traits = self.gateway.traits(service)
@@ -259,6 +303,7 @@
         started_ms = self._timers.now_ms()
         end_ms = started_ms + self._settings.bounds.grace_ms - CLOSE_RESERVE_MS
         self._caller_server.closing = True
+        self._delegated_queries.stop()
         self.logger.info("stopping", in_flight=self._caller_server.in_flight)
         await self._timers.sleep(BALANCER_REMOVAL_MS)
         await self._caller_server.wait_until_idle(self._timers, end_ms)
@@ -271,6 +316,7 @@
         self.logger.info("stopped", in_flight=self._caller_server.in_flight)
         self._leaf_client.close()
         await self._relay.close()
+        await self._delegation_server.close()
         await self._store.close()
         self._log_writer.flush()
 
@@ -288,6 +334,18 @@
     return ColdLimit(settings.bounds.cold_load_ratio, settings.bounds.cold_slack_per_s)
 
 
+def _own_address(settings: NodeSettings) -> DaemonAddress:
+    capacity = settings.capacity
+    return DaemonAddress(
+        settings.name,
+        settings.zone,
+        settings.peers.host,
+        settings.peers.port,
+        settings.queries.port,
+        round(legs_per_s(capacity.cores, capacity.link_mbps)),
+    )
+
+
 def _seed_addresses(settings: NodeSettings) -> tuple[DaemonAddress, ...]:
     own = settings.peers
     others = (host for host in settings.seeds if host != own.host)
--- /dev/null
+++ b/src/snipemount/model/delegation.py
@@ -0,0 +1,116 @@
+"""Messages between a daemon that delegates queries and their coordinator."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from .forwarding import ForwardRequest, RequestOutcome
+
+
+@attrs.frozen
+class DelegatedQuery:
+    """A caller's query over all shards, for the coordinator to run.
+
+    Parameters
+    ----------
+    query_id : int
+        Number of the query on its connection.
+    sender : str
+        Name of the daemon that received the query.
+    request : ForwardRequest
+        The caller's request, unchanged.
+    version : int
+        Version of the configuration under which it has to run.
+    answer_within_ms : float
+        Time after which an answer without all parts is due.
+    time_left_ms : float
+        Time left until the deadline.
+    is_repeat : bool
+        Whether another daemon may have run it, so that each attempt is an extra one.
+    """
+
+    query_id: int
+    sender: str
+    request: ForwardRequest
+    version: int
+    answer_within_ms: float
+    time_left_ms: float
+    is_repeat: bool
+
+
+class DeclineReason(Enum):
+    """Why a coordinator does not run a query."""
+
+    BUSY = "busy"  # its VM bears no more
+    STOPPING = "stopping"
+    OTHER_CONFIGURATION = "other_configuration"  # not the query's version
+
+
+@attrs.frozen
+class QueryAccepted:
+    """The coordinator has started the query."""
+
+    query_id: int
+
+
+@attrs.frozen
+class QueryDeclined:
+    """The coordinator has not run the query and will not run it."""
+
+    query_id: int
+    reason: DeclineReason
+
+
+@attrs.frozen
+class QueryRunning:
+    """The query still runs, after the time at which its answer was due."""
+
+    query_id: int
+
+
+@attrs.frozen
+class QueryEnded:
+    """Outcome of a query, and how long the coordinator took for it."""
+
+    query_id: int
+    outcome: RequestOutcome
+    ran_ms: float
+
+
+@attrs.frozen
+class QueryCancelled:
+    """The caller has left, or the query was given to another daemon."""
+
+    query_id: int
+
+
+@attrs.frozen
+class CoordinatorStopping:
+    """The coordinator stops: it completes its queries and takes no more."""
+
+
+DelegationMessage = (
+    DelegatedQuery
+    | QueryAccepted
+    | QueryDeclined
+    | QueryRunning
+    | QueryEnded
+    | QueryCancelled
+    | CoordinatorStopping
+)
+
+__all__ = [
+    "CoordinatorStopping",
+    "DeclineReason",
+    "DelegatedQuery",
+    "DelegationMessage",
+    "QueryAccepted",
+    "QueryCancelled",
+    "QueryDeclined",
+    "QueryEnded",
+    "QueryRunning",
+]
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -22,6 +22,8 @@
 from . import headers as names
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http import RawRequestMessage
     from aiohttp.streams import StreamReader
@@ -44,6 +46,10 @@
 }
 
 
+def _none() -> int:
+    return 0
+
+
 class CallerServer:
     """HTTP/1.1 server for callers, with persistent connections.
 
@@ -54,10 +60,16 @@
     ----------
     gateway : Gateway
         Routes the requests and states the limits on callers.
+    delegated_in_flight : Callable
+        Returns the number of queries in flight that other daemons delegate; they have
+        to end too before the daemon is idle.
     """
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(
+        self, gateway: Gateway, delegated_in_flight: Callable[[], int] = _none
+    ) -> None:
         self._gateway = gateway
+        self._delegated_in_flight = delegated_in_flight
         self._server = web.Server(
             self._handle, request_factory=self._make_request, handler_cancellation=True
         )
@@ -87,7 +99,8 @@
         idle_checks = 0
         while idle_checks < REQUIRED_IDLE_CHECKS and timers.now_ms() < end_ms:
             await timers.sleep(IDLE_CHECK_PERIOD_MS)
-            idle_checks = 0 if self.in_flight else idle_checks + 1
+            in_flight = self.in_flight + self._delegated_in_flight()
+            idle_checks = 0 if in_flight else idle_checks + 1
 
     def close_idle(self) -> None:
         """Close each connection as soon as it has no request in flight."""
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -93,6 +93,8 @@
         Address of the platform's store.
     peers : Endpoint
         Address to listen on for other daemons; the port is the same on all VMs.
+    queries : Endpoint
+        Address to listen on for queries that other daemons delegate.
     seeds : tuple of str
         IP addresses of some VMs with a daemon; may be out of date.
     first_start : bool
@@ -109,6 +111,7 @@
     readiness: Endpoint
     store: Endpoint
     peers: Endpoint
+    queries: Endpoint
     seeds: tuple[str, ...]
     first_start: bool
     capacity: VmCapacity
@@ -150,7 +153,8 @@
         callers=fields.endpoint("listen_addrs.front"),
         readiness=fields.endpoint("listen_addrs.readiness"),
         store=fields.endpoint("platform.address"),
-        peers=Endpoint(fields.text("ip"), fields.first_port("port_range")),
+        peers=Endpoint(fields.text("ip"), fields.peer_port("port_range", 0)),
+        queries=Endpoint(fields.text("ip"), fields.peer_port("port_range", 1)),
         seeds=fields.hosts("seeds"),
         first_start=fields.flag("bootstrap"),
         capacity=VmCapacity(
@@ -204,11 +208,15 @@
     def flag(self, key: str) -> bool:
         return self._fields.get(key, "").lower() == "true"
 
-    def first_port(self, key: str) -> int:
-        first = self.text(key).partition(",")[0]
-        if not first.isdigit():
-            raise SettingsError(f"{key}: {first!r} is not a port number")
-        return int(first)
+    def peer_port(self, key: str, offset: int) -> int:
+        """Return the port at `offset` in a range of first and last port."""
+        first, _, last = self.text(key).partition(",")
+        if not first.isdigit() or not last.isdigit():
+            raise SettingsError(f"{key}: {self.text(key)!r} is not a range of ports")
+        port = int(first) + offset
+        if port > int(last):
+            raise SettingsError(f"{key}: {port} is beyond the last port {last}")
+        return port
 
     def hosts(self, key: str) -> tuple[str, ...]:
         addresses = self._fields.get(key, "").split(",")
--- a/src/snipemount/ports/relay.py
+++ b/src/snipemount/ports/relay.py
@@ -26,13 +26,24 @@
     host : str
         IP address.
     port : int
-        TCP port.
+        TCP port of the relay.
+    query_port : int
+        TCP port for delegated queries; 0 if the daemon takes none.
+    legs_per_s : float
+        Legs of queries that its VM bears per second; 0 if the daemon states none.
     """
 
     name: str
     zone: str
     host: str
     port: int
+    query_port: int = 0
+    legs_per_s: float = 0.0
+
+    @property
+    def accepts_queries(self) -> bool:
+        """Whether other daemons can delegate queries to it."""
+        return self.query_port > 0 and self.legs_per_s > 0.0
 
 
 class RelayPort(ABC):
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -28,6 +28,10 @@
     def store_call(self, call: str, result: str) -> None:
         """Count a call to the platform's store by its result."""
 
+    @abstractmethod
+    def delegation(self, result: str) -> None:
+        """Count a query that was given to a coordinator, by what became of it."""
+
     @abstractmethod
     def query_stages(self, stages: QueryStages) -> None:
         """Record how long the stages of a query over all shards took."""
@@ -48,6 +52,9 @@
     def store_call(self, call: str, result: str) -> None:
         """Do nothing."""
 
+    def delegation(self, result: str) -> None:
+        """Do nothing."""
+
     def query_stages(self, stages: QueryStages) -> None:
         """Do nothing."""
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -7,11 +7,12 @@
 import attrs
 
 from ..decisions.answer_timing import LoopLag, RouteTiming
+from ..decisions.coordinators import coordinator_names
 from ..decisions.extra_attempts import ExtraAttemptBudget
-from ..decisions.shares import share_of
+from ..decisions.limit_shares import ASSUMED_DAEMONS, LimitShares
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from structlog.typing import FilteringBoundLogger
 
@@ -24,17 +25,19 @@
     from ..model.configuration import Route, ToAllShards
     from ..model.leaf import Leaf
     from ..ports.leaf import LeafPort
+    from ..ports.relay import DaemonAddress
     from ..ports.serving_metrics import ServingMetrics
     from ..timers import TimerService
 
 
-ASSUMED_DAEMONS = 64  # before the registry has been read; keeps the shares small
-
-
 def _no_stated_load(service: str) -> float:
     return 0.0
 
 
+def _no_shard(service: str) -> bool:
+    return False
+
+
 @attrs.define(eq=False)
 class ServingContext:
     """Ports, directory, budgets and latencies that all requests of a daemon share.
@@ -61,11 +64,13 @@
         Limit on the requests to a cold leaf over all daemons.
     own_name : str
         Name of this daemon.
-    daemon_names : frozenset of str
-        Daemons that share the limits; empty until the registry has been read.
+    limit_shares : LimitShares
+        Daemons that share the limits; none until the registry has been read.
     cold_requests_per_s : Callable
         Returns the requests per second that the operators configure for each cold leaf
         of a service; 0 for no limit.
+    is_shard : Callable
+        Returns whether a configured query asks a service as one of its shards.
 
     Attributes
     ----------
@@ -77,6 +82,8 @@
         Budgets of extra attempts by service.
     started_ms : float
         Monotonic time of the start.
+    running_legs : int
+        Shards of the queries that run in this daemon.
     """
 
     timers: TimerService
@@ -89,20 +96,24 @@
     metrics: ServingMetrics
     cold_limit: ColdLimit
     own_name: str
-    daemon_names: frozenset[str] = frozenset()
+    limit_shares: LimitShares = attrs.field(init=False)
     cold_requests_per_s: Callable[[str], float] = attrs.field(default=_no_stated_load)
+    is_shard: Callable[[str], bool] = attrs.field(default=_no_shard)
     lag: LoopLag = attrs.field(factory=LoopLag)
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraAttemptBudget] = attrs.field(factory=dict)
     started_ms: float = attrs.field(init=False)
+    _daemons: dict[str, DaemonAddress] = attrs.field(factory=dict, init=False)
+    running_legs: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.started_ms = self.timers.now_ms()
+        self.limit_shares = LimitShares(self.own_name)
 
     @property
     def daemon_count(self) -> int:
         """Number of daemons that share the limits; an assumed one until it is known."""
-        return len(self.daemon_names) or ASSUMED_DAEMONS
+        return len(self.limit_shares.daemons) or ASSUMED_DAEMONS
 
     def timing(self, route: Route) -> RouteTiming:
         """Return the latencies of a route, created on first use."""
@@ -133,7 +144,8 @@
         now_ms = self.timers.now_ms()
         if not state.is_cold(now_ms):
             return True
-        share = self.own_share(limit, state.leaf.leaf_id)
+        leaf = state.leaf
+        share = self.own_share(limit, leaf.leaf_id, leaf.service)
         return state.cold_attempts.allows(int(share), now_ms)
 
     def can_serve(self, target: ToAllShards) -> bool:
@@ -167,10 +179,23 @@
 
         self.leafs.probe(leaf, done)
 
-    def own_share(self, limit: float, subject: str) -> float:
-        """Return this daemon's share of a limit that all daemons share.
+    def add_daemons(self, daemons: Iterable[DaemonAddress]) -> None:
+        """Share the limits with further daemons.
 
-        Until the registry has been read, many daemons are assumed.
+        A stale listing may lack daemons, and shares must not grow by that; so none
+        is removed.
+        """
+        for daemon in daemons:
+            self._daemons[daemon.name] = daemon
+        coordinators = coordinator_names(self._daemons.values())
+        names = frozenset(self._daemons)
+        shares = LimitShares(self.own_name, names, coordinators)
+        if shares != self.limit_shares:
+            self.limit_shares = shares
+            self.recompute_shares()
+
+    def own_share(self, limit: float, subject: str, service: str) -> float:
+        """Return this daemon's share of a limit that all daemons share.
 
         Parameters
         ----------
@@ -178,24 +203,29 @@
             Limit over all daemons.
         subject : str
             What is limited: a leaf or a service.
+        service : str
+            Service that is limited, or that the leaf belongs to.
         """
-        if not self.daemon_names:
-            return limit / ASSUMED_DAEMONS if limit >= ASSUMED_DAEMONS else 0.0
-        return share_of(limit, subject, self.daemon_names, self.own_name)
+        if self.is_shard(service):
+            return self.limit_shares.of_shard(limit, subject)
+        return self.limit_shares.of_service(limit, subject)
 
     def recompute_shares(self) -> None:
         """Recompute this daemon's shares after a change of the limits or daemons."""
+        slack = self.extra_attempt_limit.shared_slack
         for service, budget in self.budgets.items():
             budget.set_limit(
                 self.extra_attempt_limit,
-                self.own_share(self.extra_attempt_limit.shared_slack, service),
+                self.own_share(slack, service, service),
             )
 
     def budget(self, service: str) -> ExtraAttemptBudget:
         """Return the budget of extra attempts of a service, created on first use."""
         found = self.budgets.get(service)
         if found is None:
-            slack = self.own_share(self.extra_attempt_limit.shared_slack, service)
+            slack = self.own_share(
+                self.extra_attempt_limit.shared_slack, service, service
+            )
             found = ExtraAttemptBudget(self.extra_attempt_limit, slack, self.started_ms)
             self.budgets[service] = found
         return found
--- /dev/null
+++ b/src/snipemount/serving/coordinator_links.py
@@ -0,0 +1,295 @@
+"""Connections to the coordinators that this daemon delegates queries to."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from ..decisions.coordinators import ranked_coordinators, zones_with_most_shards
+from ..decisions.quantile import QuantileEstimate
+from ..model.delegation import (
+    CoordinatorStopping,
+    QueryAccepted,
+    QueryCancelled,
+    QueryDeclined,
+    QueryEnded,
+    QueryRunning,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..model.delegation import DeclineReason, DelegatedQuery, DelegationMessage
+    from ..model.forwarding import RequestOutcome
+    from ..ports.delegation import DelegationLink, DelegationPort
+    from ..ports.relay import DaemonAddress
+    from .context import ServingContext
+
+MAX_LINKS = 6
+REFRESH_PERIOD_MS = 250.0
+RANKING_PERIOD_MS = 2000.0  # zones gain and lose shards slowly
+RECONNECT_DELAY_MS = 1000.0
+# A link without a message for so long after an unanswered query is opened anew.
+SUSPECT_LIMIT_MS = 400.0
+DECLINED_PAUSE_MS = 50.0  # before a coordinator that was busy is asked again
+HOP_QUANTILE = 0.9
+INITIAL_HOP_MS = 4.0
+
+
+class DelegationObserver(ABC):
+    """Is told what becomes of a query that was sent to a coordinator."""
+
+    @abstractmethod
+    def on_accepted(self) -> None:
+        """Record that the coordinator runs the query."""
+
+    @abstractmethod
+    def on_running(self) -> None:
+        """Record that the coordinator still runs the query."""
+
+    @abstractmethod
+    def on_declined(self, reason: DeclineReason) -> None:
+        """Handle that the coordinator does not run the query."""
+
+    @abstractmethod
+    def on_ended(self, outcome: RequestOutcome, ran_ms: float) -> None:
+        """Handle the outcome, for which the coordinator took `ran_ms`."""
+
+    @abstractmethod
+    def on_lost(self) -> None:
+        """Handle the end of the connection; the query may have run."""
+
+
+class CoordinatorLink:
+    """Connection to one coordinator, which is opened again when it ends.
+
+    Parameters
+    ----------
+    daemon : DaemonAddress
+        The coordinator.
+    context : ServingContext
+        Gives timers and logger.
+    port : DelegationPort
+        Opens connections.
+    """
+
+    def __init__(
+        self, daemon: DaemonAddress, context: ServingContext, port: DelegationPort
+    ) -> None:
+        self.daemon = daemon
+        self._context = context
+        self._port = port
+        self._link: DelegationLink | None = None
+        self._open = False
+        self._stopping = False
+        self._suspect_since_ms: float | None = None
+        self._declined_until_ms = 0.0
+        self._reconnect_at_ms = 0.0
+        self._pending: dict[int, DelegationObserver] = {}
+
+    @property
+    def usable(self) -> bool:
+        """Whether a query may be sent now."""
+        return (
+            self._open
+            and not self._stopping
+            and self._suspect_since_ms is None
+            and self._context.timers.now_ms() >= self._declined_until_ms
+        )
+
+    @property
+    def pending_queries(self) -> int:
+        """Number of queries without an outcome."""
+        return len(self._pending)
+
+    def send(self, query: DelegatedQuery, observer: DelegationObserver) -> None:
+        """Send a query; `observer` is told what becomes of it."""
+        assert self._link is not None
+        self._pending[query.query_id] = observer
+        self._link.send(query)
+
+    def cancel(self, query_id: int) -> None:
+        """Cancel a query; its observer is not called any more."""
+        if self._pending.pop(query_id, None) is not None and self._link is not None:
+            self._link.send(QueryCancelled(query_id))
+
+    def suspect(self) -> None:
+        """Send no query until a message arrives; without one, connect anew."""
+        if self._suspect_since_ms is None:
+            self._suspect_since_ms = self._context.timers.now_ms()
+            self._context.logger.warning(
+                "coordinator_unresponsive", coordinator=self.daemon.name
+            )
+
+    def refresh(self) -> None:
+        """Connect if there is no connection, and drop one that stays silent."""
+        now_ms = self._context.timers.now_ms()
+        since_ms = self._suspect_since_ms
+        if since_ms is not None and now_ms - since_ms > SUSPECT_LIMIT_MS:
+            self._drop()
+        if self._link is None and now_ms >= self._reconnect_at_ms:
+            self._connect()
+
+    def retire(self) -> bool:
+        """Take no more queries; return whether the link was idle and is closed now."""
+        self._stopping = True
+        if self._pending:
+            return False
+        self._drop()
+        return True
+
+    def _connect(self) -> None:
+        # Callbacks of an earlier connection find another link in place of theirs.
+        def current() -> bool:
+            return self._link is link
+
+        def on_open() -> None:
+            if current():
+                self._on_open()
+
+        def on_message(message: DelegationMessage) -> None:
+            if current():
+                self._on_message(message)
+
+        def on_end() -> None:
+            if current():
+                self._drop()
+
+        link = self._port.connect(self.daemon, on_open, on_message, on_end)
+        self._link = link
+
+    def _on_open(self) -> None:
+        self._open = True
+        self._context.logger.info("coordinator_linked", coordinator=self.daemon.name)
+
+    def _drop(self) -> None:
+        link, self._link = self._link, None
+        if link is not None:
+            link.close()
+        self._open = self._stopping = False
+        self._suspect_since_ms = None
+        self._reconnect_at_ms = self._context.timers.now_ms() + RECONNECT_DELAY_MS
+        pending, self._pending = self._pending, {}
+        for observer in pending.values():
+            observer.on_lost()
+
+    def _on_message(self, message: DelegationMessage) -> None:
+        self._suspect_since_ms = None
+        match message:
+            case CoordinatorStopping():
+                self._stopping = True
+            case QueryAccepted(query_id) if query_id in self._pending:
+                self._pending[query_id].on_accepted()
+            case QueryRunning(query_id) if query_id in self._pending:
+                self._pending[query_id].on_running()
+            case QueryDeclined(query_id, reason) if query_id in self._pending:
+                now_ms = self._context.timers.now_ms()
+                self._declined_until_ms = now_ms + DECLINED_PAUSE_MS
+                self._pending.pop(query_id).on_declined(reason)
+            case QueryEnded(query_id, outcome, ran_ms) if query_id in self._pending:
+                self._pending.pop(query_id).on_ended(outcome, ran_ms)
+
+
+class CoordinatorLinks:
+    """Keeps links to the preferred coordinators and picks one for each query.
+
+    A daemon that is a coordinator itself keeps none.
+
+    Parameters
+    ----------
+    context : ServingContext
+        Gives timers, directory, and who shares the limits.
+    port : DelegationPort
+        Opens connections.
+    own : DaemonAddress
+        This daemon.
+    shards : Callable
+        Returns the shards of the configured queries.
+
+    Attributes
+    ----------
+    hop : QuantileEstimate
+        Time that delegating adds to a query: both ways and the waits at both ends.
+    """
+
+    def __init__(
+        self,
+        context: ServingContext,
+        port: DelegationPort,
+        own: DaemonAddress,
+        shards: Callable[[], frozenset[str]],
+    ) -> None:
+        self._context = context
+        self._port = port
+        self._own = own
+        self._shards = shards
+        self._daemons: tuple[DaemonAddress, ...] = ()
+        self._links: dict[DaemonAddress, CoordinatorLink] = {}
+        self._next_query_id = 0
+        self._next_ranking_ms = 0.0
+        self.hop = QuantileEstimate(HOP_QUANTILE, INITIAL_HOP_MS)
+
+    def start(self) -> None:
+        """Start to open links."""
+        self._context.timers.call_every(REFRESH_PERIOD_MS, self._refresh)
+
+    def set_daemons(self, daemons: tuple[DaemonAddress, ...]) -> None:
+        """Replace the known daemons, of which some are coordinators."""
+        self._daemons = daemons
+        self._next_ranking_ms = 0.0
+
+    @property
+    def can_delegate(self) -> bool:
+        """Whether a coordinator is connected."""
+        return any(link.usable for link in self._links.values())
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the coordinators with a link, the preferred one first."""
+        return [daemon.name for daemon in self._links]
+
+    def choose(self, excluded: set[str]) -> CoordinatorLink | None:
+        """Return the link for a query: of the nearest usable, the least busy one.
+
+        Parameters
+        ----------
+        excluded : set of str
+            Coordinators that were asked before.
+        """
+        usable = [
+            link
+            for link in self._links.values()
+            if link.usable and link.daemon.name not in excluded
+        ]
+        return min(usable, key=lambda link: link.pending_queries, default=None)
+
+    def take_query_id(self) -> int:
+        """Return a number that no other query of this daemon has."""
+        self._next_query_id += 1
+        return self._next_query_id
+
+    def _refresh(self) -> None:
+        now_ms = self._context.timers.now_ms()
+        if now_ms >= self._next_ranking_ms:
+            self._next_ranking_ms = now_ms + RANKING_PERIOD_MS
+            self._replace_links(self._wanted())
+        for link in self._links.values():
+            link.refresh()
+
+    def _replace_links(self, wanted: list[DaemonAddress]) -> None:
+        links = {}
+        for daemon in wanted:
+            link = self._links.pop(daemon, None)
+            links[daemon] = link or CoordinatorLink(daemon, self._context, self._port)
+        kept = {d: link for d, link in self._links.items() if not link.retire()}
+        self._links = links | kept
+
+    def _wanted(self) -> list[DaemonAddress]:
+        if self._own.name in self._context.limit_shares.coordinators:
+            return []
+        leafs = (state.leaf for state in self._context.directory.all_states())
+        zones = zones_with_most_shards(leafs, self._shards())
+        return ranked_coordinators(self._daemons, self._own, zones)[:MAX_LINKS]
+
+
+__all__ = ["CoordinatorLink", "CoordinatorLinks", "DelegationObserver"]
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from ..decisions.answer_timing import LAG_FACTOR, RouteTiming
 from ..decisions.route_table import RouteTable
 from ..decisions.weighted_round_robin import WeightedRoundRobin
 from ..model.configuration import (
@@ -14,20 +15,28 @@
     ToWeightedServices,
 )
 from ..model.forwarding import RefusalReason, RequestRefused, UnknownRoute
+from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
 from .request_log import EndedRequest
-from .run import EndedRun
+from .run import RETRY_AFTER_MS, EndedRun, RunTerms
 from .single_run import SingleRun
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model.configuration import Configuration, Route, ServiceTraits
+    from ..model.delegation import DelegatedQuery
     from ..model.forwarding import ForwardRequest, RequestOutcome
     from .context import ServingContext
+    from .coordinator_links import CoordinatorLinks
     from .request_log import RequestLog
     from .run import Run
 
+    StartableRun = GatherRun | SingleRun | DelegatedRun
+
+# A delegated query may run under the configuration before, so long after its end: the
+# other daemon gets the newer one within this time.
+PREVIOUS_CONFIGURATION_MS = 200.0
 ANSWER_TRANSIT_MS = 8.0  # for the answer to reach the caller before its deadline
 NO_CONFIGURATION_RETRY_AFTER_MS = 500.0
 
@@ -41,6 +50,8 @@
         State that all requests share.
     log : RequestLog
         Records the outcome of each request.
+    coordinators : CoordinatorLinks or None
+        Daemons that queries over all shards are delegated to; None to run all here.
 
     Attributes
     ----------
@@ -48,15 +59,27 @@
         The configuration in force.
     last_request_ms : float
         Monotonic time of the last request that had a route; -inf before the first.
+    shards : frozenset of str
+        Services that configured queries ask as shards.
     """
 
-    def __init__(self, context: ServingContext, log: RequestLog) -> None:
+    def __init__(
+        self,
+        context: ServingContext,
+        log: RequestLog,
+        coordinators: CoordinatorLinks | None = None,
+    ) -> None:
         self._context = context
+        self.coordinators = coordinators
         self._log = log
         self._routes: RouteTable | None = None
+        self._previous_routes: RouteTable | None = None
+        self._previous_version = 0
+        self._replaced_ms = -math.inf
         self._round_robins: dict[str, WeightedRoundRobin] = {}
         self.configuration: Configuration | None = None
         self.last_request_ms = -math.inf
+        self.shards: frozenset[str] = frozenset()
 
     @property
     def limits(self) -> CallerLimits:
@@ -69,11 +92,18 @@
         """Version of the configuration in force; 0 before the first."""
         return 0 if self.configuration is None else self.configuration.version
 
+    @property
+    def delegates(self) -> bool:
+        """Whether queries over all shards are given to another daemon now."""
+        return self.coordinators is not None and self.coordinators.can_delegate
+
     @property
     def is_isolated(self) -> bool:
         """Whether a zone is cut off and some query cannot be served without it."""
         if self.configuration is None or not self._context.reachability.cut_off_zones():
             return False
+        if self.delegates:
+            return False
         targets = (route.target for route in self.configuration.routes)
         queries = (target for target in targets if isinstance(target, ToAllShards))
         return any(not self._context.can_serve(target) for target in queries)
@@ -93,9 +123,17 @@
         """
         if configuration.version <= self.version:
             return False
+        self._previous_version, self._previous_routes = self.version, self._routes
+        self._replaced_ms = self._context.timers.now_ms()
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
         self._round_robins.clear()
+        self.shards = frozenset(
+            shard
+            for route in configuration.routes
+            if isinstance(route.target, ToAllShards)
+            for shard in route.target.shards
+        )
         return True
 
     def submit(
@@ -116,7 +154,65 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._end_immediately(request, UnknownRoute(), done)
-        return self._serve(route, request, done)
+        started_ms = self._context.timers.now_ms()
+        self.last_request_ms = started_ms
+        end_ms = started_ms + self._time_left_ms(route, request)
+        return self._start(
+            route,
+            request,
+            done,
+            lambda on_ended: self._make_run(route, request, end_ms, on_ended),
+        )
+
+    def has_routes_of(self, version: int) -> bool:
+        """Return whether a delegated query of a configuration's version may run."""
+        return self._routes_of(version) is not None
+
+    def _routes_of(self, version: int) -> RouteTable | None:
+        if version == self.version:
+            return self._routes
+        replaced_for_ms = self._context.timers.now_ms() - self._replaced_ms
+        if (
+            version == self._previous_version
+            and replaced_for_ms <= PREVIOUS_CONFIGURATION_MS
+        ):
+            return self._previous_routes
+        return None
+
+    def submit_delegated(
+        self, query: DelegatedQuery, done: Callable[[RequestOutcome], None]
+    ) -> Run:
+        """Run a query that another daemon delegates; `done` gets its outcome.
+
+        Returns
+        -------
+        Run
+            Handle that cancels the query.
+        """
+        request = query.request
+        routes = self._routes_of(query.version)
+        route = None if routes is None else routes.find(request.host, request.path)
+        if route is None or not isinstance(route.target, ToAllShards):
+            refusal = RequestRefused(RefusalReason.NO_CONFIGURATION, RETRY_AFTER_MS)
+            return self._end_immediately(request, refusal, done)
+        now_ms = self._context.timers.now_ms()
+        self.last_request_ms = now_ms
+        target = route.target
+        lag_ms = LAG_FACTOR * self._context.lag.value_ms
+        terms = RunTerms(
+            now_ms + query.time_left_ms,
+            max(0.0, query.answer_within_ms - lag_ms),
+            query.is_repeat,
+        )
+        return self._start(
+            route,
+            request,
+            done,
+            lambda on_ended: GatherRun(
+                self._context, route, target, request, terms, on_ended
+            ),
+            query.sender,
+        )
 
     def _end_immediately(
         self,
@@ -129,14 +225,15 @@
         done(outcome)
         return EndedRun()
 
-    def _serve(
+    def _start(
         self,
         route: Route,
         request: ForwardRequest,
         done: Callable[[RequestOutcome], None],
+        make_run: Callable[[Callable[[RequestOutcome], None]], StartableRun],
+        received_by: str = "",
     ) -> Run:
         started_ms = self._context.timers.now_ms()
-        self.last_request_ms = started_ms
         version = self.version
 
         def on_ended(outcome: RequestOutcome) -> None:
@@ -149,11 +246,13 @@
                 now_ms - started_ms,
                 tuple(run.unanswered()),
                 run.stages(),
+                run.delegations(),
+                received_by,
             )
             self._log.record(ended, now_ms)
             done(outcome)
 
-        run = self._make_run(route, request, started_ms, on_ended)
+        run = make_run(on_ended)
         run.start()
         return run
 
@@ -161,20 +260,43 @@
         self,
         route: Route,
         request: ForwardRequest,
-        started_ms: float,
+        end_ms: float,
         done: Callable[[RequestOutcome], None],
-    ) -> GatherRun | SingleRun:
+    ) -> StartableRun:
         context = self._context
-        end_ms = started_ms + self._time_left_ms(route, request)
         match route.target:
             case ToAllShards() as target:
-                return GatherRun(context, route, target, request, end_ms, done)
+                return self._make_query(route, target, request, end_ms, done)
             case ToService(service):
                 return SingleRun(context, route, service, request, end_ms, done)
             case ToWeightedServices() as weighted:
                 service = self._next_weighted_service(route, weighted)
                 return SingleRun(context, route, service, request, end_ms, done)
 
+    def _make_query(
+        self,
+        route: Route,
+        target: ToAllShards,
+        request: ForwardRequest,
+        end_ms: float,
+        done: Callable[[RequestOutcome], None],
+    ) -> StartableRun:
+        context = self._context
+        links = self.coordinators
+        if links is None or not links.can_delegate:
+            due_ms = RouteTiming.answer_after_ms(route, context.lag.value_ms)
+            terms = RunTerms(end_ms, due_ms)
+            return GatherRun(context, route, target, request, terms, done)
+
+        def run_here(terms: RunTerms, done: Callable[[RequestOutcome], None]) -> Run:
+            run = GatherRun(context, route, target, request, terms, done)
+            run.start()
+            return run
+
+        started_ms = context.timers.now_ms()
+        query = DelegatedRequest(request, route, self.version, started_ms, end_ms)
+        return DelegatedRun(context, links, query, run_here, done)
+
     @staticmethod
     def _time_left_ms(route: Route, request: ForwardRequest) -> float:
         if request.deadline_ms is None:
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.answer_timing import RouteTiming
 from ..decisions.record_merge import greatest_records
 from ..model.forwarding import (
     FailureReason,
@@ -25,6 +24,7 @@
     from ..model.configuration import Route, ToAllShards
     from ..model.forwarding import ForwardRequest, RequestOutcome
     from .context import ServingContext
+    from .run import RunTerms
 
 HEDGE_CHECK_PERIOD_MS = 8.0
 # On a small VM, opening the connections of a whole query blocks the loop about as long;
@@ -48,8 +48,8 @@
         Shards to ask, and how many of them an answer needs.
     request : ForwardRequest
         Request that each shard gets.
-    deadline_at_ms : float
-        Monotonic time at which the request ends with the answers at hand.
+    terms : RunTerms
+        Deadline, and when an answer is due.
     done : Callable
         Called once with the outcome, unless the request is cancelled.
     """
@@ -60,21 +60,28 @@
         route: Route,
         target: ToAllShards,
         request: ForwardRequest,
-        deadline_at_ms: float,
+        terms: RunTerms,
         done: Callable[[RequestOutcome], None],
     ) -> None:
-        super().__init__(context, route, deadline_at_ms, done)
+        super().__init__(context, route, terms.deadline_at_ms, done)
+        self._terms = terms
         self._target = target
         self._unsettled = len(target.shards)
         self._calls = [
             ServiceCall(
-                context, shard, route, request, deadline_at_ms, self._on_settled
+                context,
+                shard,
+                route,
+                request,
+                terms.deadline_at_ms,
+                self._on_settled,
+                is_repeat=terms.is_repeat,
             )
             for shard in target.shards
         ]
         self._next_check_ms = 0.0
         self._answer_due = False
-        self._answer_after_ms = 0.0
+        self._running_legs = 0
         self._sent_ms = 0.0
 
     def start(self) -> None:
@@ -85,10 +92,9 @@
             return
         self._schedule_check(context.timing(self._route).hedge_delay_ms(self._route))
         self._schedule_deadline()
-        self._answer_after_ms = RouteTiming.answer_after_ms(
-            self._route, context.lag.value_ms
-        )
-        context.timers.call_later(self._answer_after_ms, self._on_answer_due)
+        context.timers.call_later(self._terms.answer_within_ms, self._on_answer_due)
+        self._running_legs = len(self._calls)
+        context.running_legs += self._running_legs
         for call in self._calls:
             call.start()
         self._sent_ms = context.timers.now_ms() - self._started_ms
@@ -152,7 +158,7 @@
 
     def _on_answer_due(self) -> None:
         context = self._context
-        due_ms = self._started_ms + self._answer_after_ms
+        due_ms = self._started_ms + self._terms.answer_within_ms
         context.lag.add(context.timers.now_ms() - due_ms)
         self._answer_if_sufficient()
 
@@ -182,6 +188,8 @@
         return RequestRefused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
 
     def _cancel_calls(self) -> None:
+        self._context.running_legs -= self._running_legs
+        self._running_legs = 0
         for call in self._calls:
             if not call.settled:
                 call.cancel()
--- a/src/snipemount/serving/ready_connections.py
+++ b/src/snipemount/serving/ready_connections.py
@@ -25,7 +25,8 @@
     """Keeps a connection open to the preferred leaf of each shard.
 
     Otherwise the first query after a start would open one to every shard, and its
-    answers would be read only after that work.
+    answers would be read only after that work. A daemon that delegates its queries
+    needs none.
 
     Parameters
     ----------
@@ -52,6 +53,8 @@
         since_request_ms = now_ms - self._gateway.last_request_ms
         if since_start_ms > STARTUP_MS and since_request_ms > MAX_IDLE_MS:
             return
+        if self._gateway.delegates:
+            return
         if self._gateway.version != self._version:
             self._version = self._gateway.version
             self._unvisited = []
--- a/src/snipemount/serving/request_log.py
+++ b/src/snipemount/serving/request_log.py
@@ -65,6 +65,10 @@
         Services without an answer.
     stages : QueryStages or None
         Stages of a query over all shards that ran in this daemon.
+    delegations : str
+        Coordinators that were asked to run the query, with the results.
+    received_by : str
+        Daemon that delegated the query to this one; empty for a caller's request.
     """
 
     request: ForwardRequest
@@ -74,11 +78,13 @@
     elapsed_ms: float = 0.0
     unanswered: tuple[Unanswered, ...] = ()
     stages: QueryStages | None = None
+    delegations: str = ""
+    received_by: str = ""
 
     @property
     def is_late(self) -> bool:
         """Whether a query over all shards ended after its latency objective."""
-        if self.route is None or self.stages is None:
+        if self.route is None or (self.stages is None and not self.delegations):
             return False
         return self.elapsed_ms > self.route.latency_objective_ms
 
@@ -115,7 +121,8 @@
         """
         result = result_text(ended.outcome)
         name = "" if ended.route is None else ended.route.name
-        self._metrics.request(name, result.partition(":")[0], ended.elapsed_ms)
+        if not ended.received_by:
+            self._metrics.request(name, result.partition(":")[0], ended.elapsed_ms)
         if ended.stages is not None:
             self._metrics.query_stages(ended.stages)
         if (result == COMPLETE and not ended.is_late) or not self._may_write(now_ms):
@@ -131,6 +138,7 @@
             deadline_ms=ended.request.deadline_ms,
             unanswered=" ".join(f"{item.service}[{item.attempts}]" for item in named),
             **_stage_fields(ended.stages),
+            **_delegation_fields(ended),
         )
 
     def _may_write(self, now_ms: float) -> bool:
@@ -161,6 +169,11 @@
     }
 
 
+def _delegation_fields(ended: EndedRequest) -> dict[str, object]:
+    fields = {"delegated": ended.delegations, "received_by": ended.received_by}
+    return {name: value for name, value in fields.items() if value}
+
+
 def result_text(outcome: RequestOutcome) -> str:
     """Return the outcome's name, with its detail after a colon if it has one."""
     match outcome:
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,6 +19,25 @@
 RETRY_AFTER_MS = 50.0
 
 
+@attrs.frozen
+class RunTerms:
+    """Terms under which a query over all shards is run.
+
+    Parameters
+    ----------
+    deadline_at_ms : float
+        Monotonic time at which the query ends with the answers at hand.
+    answer_within_ms : float
+        Time from its start after which an answer without all parts is due.
+    is_repeat : bool
+        Whether the query may have run before, so that each attempt is an extra one.
+    """
+
+    deadline_at_ms: float
+    answer_within_ms: float
+    is_repeat: bool = False
+
+
 class Run(ABC):
     """A request in progress, until its outcome has been passed to its callback."""
 
@@ -32,6 +53,10 @@
         """Return the stages of a query over all shards; None for other requests."""
         return None
 
+    def delegations(self) -> str:
+        """Return the coordinators that were asked, for the log; empty if none was."""
+        return ""
+
 
 class EndedRun(Run):
     """A request that ended without asking any leaf."""
@@ -121,4 +146,4 @@
         """
 
 
-__all__ = ["RETRY_AFTER_MS", "EndedRun", "RoutedRun", "Run"]
+__all__ = ["RETRY_AFTER_MS", "EndedRun", "RoutedRun", "Run", "RunTerms"]
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -69,6 +69,9 @@
         Monotonic time after which nothing is sent.
     on_settled : Callable
         Called once when the call settles, unless it is cancelled.
+    is_repeat : bool
+        Whether another daemon may have sent the request to the service before, so
+        that the first attempt is an extra one too.
 
     Attributes
     ----------
@@ -96,6 +99,7 @@
         request: ForwardRequest,
         deadline_at_ms: float,
         on_settled: Callable[[ServiceCall], None],
+        is_repeat: bool = False,
     ) -> None:
         self._context = context
         self.service = service
@@ -110,6 +114,7 @@
         self._possible_runs = 0
         self._possible_arrivals = 0
         self._budget_taken = 0
+        self._first_is_extra = is_repeat
         self.settled = False
         self.answer: LeafAnswer | None = None
         self.failure: LeafAnswer | None = None
@@ -143,6 +148,10 @@
 
     def start(self) -> None:
         """Send the first attempt to the best leaf; settle if there is none."""
+        if self._first_is_extra:
+            if not self._take_budget("repeated") or not self._send_next_attempt():
+                self._settle()
+            return
         self._context.budget(self.service).add_request(self._context.timers.now_ms())
         if not self._send_next_attempt():
             self._settle()
@@ -206,7 +215,7 @@
         )
 
     def _take_budget(self, cause: str, share: float = 1.0) -> bool:
-        if self._possible_arrivals == 0:
+        if self._possible_arrivals == 0 and not self._first_is_extra:
             return True
         budget = self._context.budget(self.service)
         now_ms = self._context.timers.now_ms()
@@ -356,7 +365,8 @@
 
     def _return_unused_budget(self) -> None:
         """Return the budget of extra attempts that were never sent."""
-        unused = self._budget_taken - max(0, self._possible_arrivals - 1)
+        free = 0 if self._first_is_extra else 1
+        unused = self._budget_taken - max(0, self._possible_arrivals - free)
         if unused > 0:
             self._context.budget(self.service).refund(unused)
             self._budget_taken -= unused
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -19,10 +19,10 @@
     RelayRemoval,
     RelayStoreLost,
 )
-from ..ports.platform import Conflicted, Failed, Found, Kind, Listed, Missing, Written
-from ..ports.relay import DaemonAddress
+from ..ports.platform import Failed, Kind, Listed
 from .kind_feed import KindFeed
 from .leaf_evidence import LeafEvidence
+from .registration import REGISTRY_PERIOD_MS, Registration, registered_daemon
 from .store_subscribers import (
     ConfigurationSubscriber,
     LeafSubscriber,
@@ -31,19 +31,14 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from structlog.typing import FilteringBoundLogger
 
     from ..model.relay import RelayMessage
-    from ..ports.platform import (
-        ListResult,
-        PlatformPort,
-        ReadResult,
-        StoredObject,
-        WriteResult,
-    )
-    from ..ports.relay import RelayPort
+    from ..ports.platform import ListResult, PlatformPort
+    from ..ports.relay import DaemonAddress, RelayPort
     from .context import ServingContext
     from .gateway import Gateway
     from .store_subscribers import StoreDecoders
@@ -54,7 +49,6 @@
 KEEPALIVE_PERIOD_MS = 500.0
 # The daemons of a deployment start together; this lets all register before any lists.
 FIRST_DISCOVERY_DELAY_MS = 600.0
-REGISTRY_PERIOD_MS = 10_000.0  # of listings, and of attempts to register
 FAILED_DISCOVERY_DELAY_MS = 2000.0
 FOLLOW_DELAY_MS = 500.0  # lets the daemon to follow list the store first
 NEXT_CANDIDATE_DELAY_MS = 300.0
@@ -86,6 +80,8 @@
         Source of jitter, which spreads the calls of many daemons.
     logger : FilteringBoundLogger
         Receives changes of registration and feed.
+    on_daemons : Callable
+        Called with the registered daemons after each listing of the registry.
     """
 
     def __init__(
@@ -99,7 +95,10 @@
         seeds: tuple[DaemonAddress, ...],
         random: Random,
         logger: FilteringBoundLogger,
+        on_daemons: Callable[[tuple[DaemonAddress, ...]], None],
     ) -> None:
+        self._on_daemons = on_daemons
+        self._registration = Registration(platform, own, context.timers, logger)
         self._seeds = seeds
         self._platform = platform
         self._relay = relay
@@ -156,7 +155,7 @@
             Whether the whole deployment starts. A daemon that is restarted alone
             follows the store at once, so that it can serve again soon.
         """
-        self._register()
+        self._registration.register()
         timers = self._context.timers
         timers.call_later(
             FIRST_DISCOVERY_DELAY_MS if first_start else 0.0, self._discover_first
@@ -204,42 +203,6 @@
         if self._followed is None:
             self._relay.publish(message)
 
-    def _register(self) -> None:
-        self._platform.write(
-            Kind.DAEMON, self._own.name, self._spec, None, self._on_registered
-        )
-
-    @property
-    def _spec(self) -> dict[str, object]:
-        own = self._own
-        return {"zone": own.zone, "host": own.host, "port": own.port}
-
-    def _on_registered(self, result: WriteResult) -> None:
-        match result:
-            case Written():
-                self._logger.info("registered", name=self._own.name)
-            case Conflicted():
-                # An earlier process of this VM registered, maybe with another address.
-                self._platform.read(
-                    Kind.DAEMON, self._own.name, self._on_own_entry_read
-                )
-            case Failed(detail):
-                self._logger.warning("not_registered", reason=detail)
-                self._context.timers.call_later(REGISTRY_PERIOD_MS, self._register)
-
-    def _on_own_entry_read(self, result: ReadResult) -> None:
-        match result:
-            case Found(stored) if stored.spec != self._spec:
-                self._platform.write(
-                    Kind.DAEMON,
-                    self._own.name,
-                    self._spec,
-                    stored.version,
-                    self._on_registered,
-                )
-            case Missing() | Failed():
-                self._context.timers.call_later(REGISTRY_PERIOD_MS, self._register)
-
     def _discover_first(self) -> None:
         self._platform.list_all(Kind.DAEMON, self._on_daemons_listed)
 
@@ -249,12 +212,12 @@
     def _on_daemons_listed(self, result: ListResult) -> None:
         match result:
             case Listed(objects, _):
-                addresses = (_address(stored) for stored in objects)
+                addresses = (registered_daemon(stored) for stored in objects)
                 self._daemons = tuple(
                     daemon for daemon in addresses if daemon is not None
                 )
-                names = frozenset(daemon.name for daemon in self._daemons)
-                self._add_daemons(names)
+                self._context.add_daemons(self._daemons)
+                self._on_daemons(self._daemons)
                 self._candidates = relay_candidates(self._daemons, self._own)
                 period_ms = REGISTRY_PERIOD_MS
             case Failed(detail):
@@ -268,12 +231,6 @@
             wait_ms = FOLLOW_DELAY_MS if self._candidates else 0.0
             timers.call_later(wait_ms, self._follow_next_unless_following)
 
-    def _add_daemons(self, names: frozenset[str]) -> None:
-        # Only adds: a stale listing may lack daemons, and shares must not grow by that.
-        if not names <= self._context.daemon_names:
-            self._context.daemon_names |= names
-            self._context.recompute_shares()
-
     @property
     def _has_unlisted_kind(self) -> bool:
         return any(kind.version == 0 for kind in self._kinds.values())
@@ -364,11 +321,4 @@
             self._follow_next_candidate()
 
 
-def _address(stored: StoredObject) -> DaemonAddress | None:
-    zone, host, port = (stored.spec.get(key) for key in ("zone", "host", "port"))
-    if isinstance(zone, str) and isinstance(host, str) and isinstance(port, int):
-        return DaemonAddress(stored.name, zone, host, port)
-    return None
-
-
 __all__ = ["StoreFeed"]
--- /dev/null
+++ b/tests/serving/coordinators.feature
@@ -0,0 +1,148 @@
+Feature: Queries over all shards run on the VMs that bear them
+
+  # Two daemons that decide differently would send queries in circles or to a VM that
+  # cannot run them.
+  Scenario: Coordinators are the VMs that bear at least half as much as the largest
+    Then of VMs with 10, 9, 4 and 1 those with 10 and 9 coordinate
+    And of equal VMs all coordinate
+    And a daemon that states no capacity runs its own queries and gets no others
+
+  Scenario: Parts don't cross zones where a zone holds all shards
+    Then a daemon prefers coordinators of its own zone, then those of zones with all shards
+    And without its own zone's leafs it prefers zones with all shards
+
+  Scenario: A VM that is added or lost moves few queries
+    Then without one of 12 coordinators only its own queries move
+
+  # Each daemon decides alone how much it takes of a leaf's limits.
+  Scenario: The shares of all daemons never exceed a limit
+    Then for any daemons the shares of a limit add up to it at most
+
+  Scenario: No hop where all VMs are alike, and none for requests to one leaf
+    Given 4 zones with 0 large and 3 small VMs, before 90 shards
+    When 20 queries of ten callers a zone arrive, 100 ms apart
+    Then no message was sent between daemons
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When a caller of a small VM sends a "look" request
+    And 500 ms pass on all VMs
+    Then no message was sent between daemons
+    And the answer is complete
+
+  Scenario: All large VMs are lost: small ones run their queries at once
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When all large VMs crash
+    And 100 ms pass on all VMs
+    And a caller of a small VM sends a "find" request
+    And 500 ms pass on all VMs
+    Then the answer is complete
+    And no message was sent between daemons
+
+  # The query may have run, so each attempt of the second run counts as an extra one.
+  Scenario: A coordinator crashes while it runs a query: another runs it, from the budget
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And 500 ms pass on all VMs
+    And a caller of a small VM sends a "find" request
+    And 12 ms pass on all VMs
+    And the coordinator of the query crashes
+    And 500 ms pass on all VMs
+    Then the answer is complete
+    And each shard that was asked twice has spent budget
+
+  Scenario Outline: A coordinator is <fault>: the query is asked elsewhere in time
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And the nearest coordinator of a small VM is <fault>
+    And that small VM gets a "find" request
+    And 400 ms pass on all VMs
+    Then the answer is complete
+    And it reached the caller within 120 ms
+    When that small VM gets a "find" request
+    And 400 ms pass on all VMs
+    Then the answer is complete
+    And the nearest coordinator was not asked
+
+    Examples:
+      | fault   |
+      | frozen  |
+      | cut off |
+
+  Scenario: A coordinator that freezes after it took a query is given up
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And 500 ms pass on all VMs
+    And a caller of a small VM sends a "find" request
+    And 12 ms pass on all VMs
+    And the coordinator of the query is cut off
+    And 600 ms pass on all VMs
+    Then the answer is complete
+
+  Scenario: A coordinator that stops completes its queries and takes no more
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When a caller of a small VM sends a "find" request
+    And 12 ms pass on all VMs
+    And the coordinator of the query stops
+    Then it has 1 query in flight
+    When 300 ms pass on all VMs
+    Then it has 0 queries in flight
+    And the answer is complete
+    When that small VM gets a "find" request
+    And 300 ms pass on all VMs
+    Then the answer is complete
+    And the nearest coordinator was not asked
+
+  # Otherwise a burst would gather on one VM.
+  Scenario: A coordinator whose VM bears no more says so at once, and another runs the query
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When the nearest coordinator of a small VM is full
+    And that small VM gets a "find" request
+    And 300 ms pass on all VMs
+    Then the answer is complete
+    And it reached the caller within 120 ms
+    And a log line of the small VM names "busy"
+
+  # GONE: leafs must not work on for a caller that has left.
+  Scenario: A caller leaves: the leafs of its query are cancelled
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When a caller of a small VM sends a "find" request
+    And 12 ms pass on all VMs
+    And the caller of the small VM leaves
+    And 20 ms pass on all VMs
+    Then no leaf works on the query
+
+  Scenario: A connection ends: the leafs of its queries are cancelled
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When a caller of a small VM sends a "find" request
+    And 12 ms pass on all VMs
+    And the small VM crashes
+    And 20 ms pass on all VMs
+    Then no leaf works on the query
+
+  # The route of a query must not change on its way.
+  Scenario: Daemons with different configurations don't run each other's queries
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When the large VMs have a newer configuration for 300 ms
+    And a caller of a small VM sends a "find" request
+    And 500 ms pass on all VMs
+    Then the answer is complete
+    And a log line of the small VM names "other_configuration"
+
+  Scenario: A configuration that has just been replaced still serves delegated queries
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When the large VMs have a newer configuration for 50 ms
+    And a caller of a small VM sends a "find" request
+    And 500 ms pass on all VMs
+    Then the answer is complete
+    And the query was delegated once
+
+  Scenario: A request's id leads through the logs of both daemons
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When all leafs of 1 shard hang
+    And a caller of a small VM sends a "find" request
+    And 500 ms pass on all VMs
+    Then the line of the small VM names the coordinator
+    And the line of the coordinator names the small VM and the missing shard
+
+  Scenario: Messages between daemons are read as they were written
+    Then any message between a delegating daemon and a coordinator survives its encoding
+    And bytes that are no message are refused
--- /dev/null
+++ b/tests/steps/coordinator_steps.py
@@ -0,0 +1,290 @@
+"""Steps on the choice of coordinators and on delegated queries."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from fleet_world import LARGE, LEAF_ZONES, SHARDS, SMALL, FleetWorld, configuration
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+from serving_world import make_leaf
+
+from snipemount.decisions.coordinators import (
+    coordinator_names,
+    ranked_coordinators,
+    zones_with_most_shards,
+)
+from snipemount.decisions.limit_shares import LimitShares
+from snipemount.model.forwarding import Merged
+from snipemount.ports.relay import DaemonAddress
+
+ZONES = (*LEAF_ZONES, "zone-d")
+
+
+def address(name, zone="zone-a", legs_per_s=10.0, query_port=2):
+    """Return the address of a daemon."""
+    return DaemonAddress(name, zone, name, 1, query_port, legs_per_s)
+
+
+@then("of VMs with 10, 9, 4 and 1 those with 10 and 9 coordinate")
+def step_classes(context):
+    daemons = [address(f"vm-{size}", legs_per_s=size) for size in (10.0, 9.0, 4.0, 1.0)]
+    assert coordinator_names(daemons) == {"vm-10.0", "vm-9.0"}
+
+
+@then("of equal VMs all coordinate")
+def step_equal(context):
+    daemons = [address(f"vm-{n}") for n in range(5)]
+    assert coordinator_names(daemons) == {daemon.name for daemon in daemons}
+
+
+@then("a daemon that states no capacity runs its own queries and gets no others")
+def step_unstated(context):
+    old, new = DaemonAddress("old", "zone-a", "old", 1), address("new")
+    assert coordinator_names([old, new]) == {"old", "new"}
+    assert ranked_coordinators([old, new], address("own"), frozenset()) == [new]
+
+
+def ranked_zones(own_zone, zones):
+    """Return the zones of the coordinators in the order a daemon prefers them."""
+    daemons = [address(f"vm-{zone}", zone) for zone in ZONES]
+    own = address("own", own_zone, 1.0)
+    return [d.zone for d in ranked_coordinators([*daemons, own], own, zones)]
+
+
+@then(
+    "a daemon prefers coordinators of its own zone, then those of zones with all shards"
+)
+def step_zones(context):
+    leafs = [make_leaf(f"{s}-{z}", s, z) for s in SHARDS for z in LEAF_ZONES]
+    zones = zones_with_most_shards(leafs, frozenset([*SHARDS, "not-started"]))
+    assert zones == set(LEAF_ZONES)
+    ranked = ranked_zones("zone-b", zones)
+    assert ranked[0] == "zone-b" and ranked[-1] == "zone-d", ranked
+
+
+@then("without its own zone's leafs it prefers zones with all shards")
+def step_other_zones(context):
+    ranked = ranked_zones("zone-d", frozenset(LEAF_ZONES))
+    assert ranked[-1] == "zone-d", ranked
+
+
+@then("without one of {count:d} coordinators only its own queries move")
+def step_moves(context, count):
+    daemons = [address(f"vm-{n}") for n in range(count)]
+    for number in range(200):
+        own = address(f"own-{number}", legs_per_s=1.0)
+        before = ranked_coordinators(daemons, own, frozenset())
+        after = ranked_coordinators(daemons[1:], own, frozenset())
+        assert [d for d in before if d != daemons[0]] == after
+
+
+@then("for any daemons the shares of a limit add up to it at most")
+def step_shares(context):
+    names = st.sets(st.integers(0, 99).map(str), min_size=1, max_size=70)
+
+    @for_any(names, st.data(), st.integers(1, 200))
+    def check(daemons, data, limit):
+        coordinators = data.draw(st.sets(st.sampled_from(sorted(daemons))))
+        shares = [
+            LimitShares(name, frozenset(daemons), frozenset(coordinators))
+            for name in daemons
+        ]
+        for kind in ("of_shard", "of_service"):
+            total = sum(getattr(share, kind)(limit, "leaf") for share in shares)
+            assert total <= limit + 1e-6, (kind, total)
+
+    check()
+
+
+@given("{zones:d} zones with {large:d} large and {small:d} small VMs, before 90 shards")
+def step_fleet(context, zones, large, small):
+    world = FleetWorld()
+    context.fleet = world
+    for zone in ZONES[:zones]:
+        world.add_daemons(zone, large, LARGE)
+        world.add_daemons(zone, small, SMALL)
+    world.start()
+    world.run_for(600.0)
+    context.small = world.daemons[-1]
+    context.crashed = None
+
+
+def coordinators_of(context):
+    """Return the daemons that the small VM prefers, the nearest first."""
+    by_name = {daemon.name: daemon for daemon in context.fleet.daemons}
+    return [by_name[name] for name in context.small.coordinators.names]
+
+
+@when('a caller of a small VM sends a "{route}" request')
+@when('that small VM gets a "{route}" request')
+def step_ask(context, route):
+    context.nearest = next(iter(coordinators_of(context)), None)
+    context.messages_before = len(context.fleet.delegation.messages)
+    context.sample = context.fleet.ask(context.small, route)
+
+
+@then("no message was sent between daemons")
+def step_no_message(context):
+    assert not context.fleet.delegation.messages
+
+
+@then("the answer is complete")
+def step_complete(context):
+    outcome = context.sample.outcome
+    assert outcome is not None, "no answer"
+    if isinstance(outcome, Merged):
+        assert outcome.missing <= len(SHARDS) * 0.05, outcome.missing
+    else:
+        assert outcome.answer.succeeded, outcome
+
+
+@then("it reached the caller within {limit_ms:g} ms")
+def step_within(context, limit_ms):
+    assert context.sample.elapsed_ms <= limit_ms, context.sample.elapsed_ms
+
+
+@when("all large VMs crash")
+def step_all_crash(context):
+    for daemon in context.fleet.daemons:
+        if daemon.vm.cores == LARGE[0]:
+            crash(context, daemon)
+
+
+def crash(context, daemon):
+    """Crash a daemon: its connections end and its own work stops."""
+    context.fleet.delegation.crash(daemon.name)
+    daemon.vm.frozen_until_ms = float("inf")
+
+
+def coordinator_of(context):
+    """Return the daemon that runs the query."""
+    (daemon,) = [d for d in context.fleet.daemons if d.queries.in_flight]
+    return daemon
+
+
+@when("the coordinator of the query crashes")
+def step_crash(context):
+    context.crashed = coordinator_of(context)
+    crash(context, context.crashed)
+
+
+@when("the small VM crashes")
+def step_small_crash(context):
+    crash(context, context.small)
+
+
+@when("the coordinator of the query is cut off")
+def step_cut(context):
+    coordinator_of(context).peer.unreachable = True
+
+
+@when("the nearest coordinator of a small VM is {fault}")
+def step_fault(context, fault):
+    nearest = coordinators_of(context)[0]
+    context.stopped_name = nearest.name
+    match fault:
+        case "frozen":
+            nearest.vm.frozen_until_ms = context.fleet.timers.now_ms() + 5000.0
+        case "cut off":
+            nearest.peer.unreachable = True
+        case "full":
+            nearest.queries.max_running_legs = -1
+
+
+@then("the nearest coordinator was not asked")
+def step_not_asked(context):
+    assert context.nearest is not None
+    asked = context.sample.run.delegations()
+    assert context.stopped_name not in asked, asked
+
+
+@when("the coordinator of the query stops")
+def step_stop(context):
+    context.stopping = coordinator_of(context)
+    context.stopping.queries.stop()
+    context.stopped_name = context.stopping.name
+
+
+@then("it has {count:d} query in flight")
+@then("it has {count:d} queries in flight")
+def step_in_flight(context, count):
+    assert context.stopping.queries.in_flight == count
+
+
+def small_lines(context):
+    """Return the lines of the small VM on its last request."""
+    return [
+        line
+        for line in context.small.lines
+        if line.get("request") == context.sample.request_id
+    ]
+
+
+@then('a log line of the small VM names "{text}"')
+def step_named(context, text):
+    assert text in context.sample.run.delegations(), context.sample.run.delegations()
+
+
+@when("the caller of the small VM leaves")
+def step_leave(context):
+    context.sample.run.cancel()
+
+
+@then("no leaf works on the query")
+def step_no_work(context):
+    running = sum(context.fleet.leafs.in_progress.values())
+    assert context.fleet.leafs.arrivals and running == 0, running
+
+
+@then("each shard that was asked twice has spent budget")
+def step_budget(context):
+    arrivals = context.fleet.leafs.arrivals
+    asked = [
+        leaf for _, leaf, request in arrivals if request == context.sample.request_id
+    ]
+    shards = {leaf.partition("-")[0] for leaf in asked}
+    extra = len(asked) - len(shards)
+    assert extra >= len(SHARDS) // 2, "the second run sent nothing"
+    runs = [d for d in context.fleet.daemons if d is not context.crashed]
+    granted = sum(d.context.metrics.granted["repeated"] for d in runs)
+    assert granted >= extra / 2, (granted, extra)
+
+
+@when("the large VMs have a newer configuration for {span_ms:g} ms")
+def step_newer(context, span_ms):
+    for daemon in context.fleet.daemons:
+        if daemon.vm.cores == LARGE[0]:
+            daemon.gateway.put_in_force(configuration(2))
+    context.fleet.run_for(span_ms)
+
+
+@then("the query was delegated once")
+def step_once(context):
+    assert context.sample.run.delegations().count("answered") == 1
+
+
+@when("all leafs of 1 shard hang")
+def step_hang(context):
+    for zone in LEAF_ZONES:
+        context.fleet.leafs.scripts[f"{SHARDS[0]}-{zone}"].unresponsive = True
+
+
+@then("the line of the small VM names the coordinator")
+def step_names_coordinator(context):
+    (line,) = small_lines(context)
+    context.coordinator_name = line["delegated"].partition(":")[0]
+    assert context.coordinator_name in {d.name for d in context.fleet.daemons}
+
+
+@then("the line of the coordinator names the small VM and the missing shard")
+def step_names_shard(context):
+    (coordinator,) = [
+        d for d in context.fleet.daemons if d.name == context.coordinator_name
+    ]
+    (line,) = [
+        line
+        for line in coordinator.lines
+        if line.get("request") == context.sample.request_id
+    ]
+    assert line["received_by"] == context.small.name
+    assert SHARDS[0] in line["unanswered"]
--- /dev/null
+++ b/tests/steps/delegation_codec_steps.py
@@ -0,0 +1,97 @@
+"""Steps on the encoding of messages between daemons and coordinators."""
+
+from __future__ import annotations
+
+import attrs
+from behave import then
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+
+from snipemount.adapters.delegation_codec import decode_delegation, encode_delegation
+from snipemount.errors import DecodeError
+from snipemount.model.delegation import (
+    CoordinatorStopping,
+    DeclineReason,
+    DelegatedQuery,
+    QueryAccepted,
+    QueryCancelled,
+    QueryDeclined,
+    QueryEnded,
+    QueryRunning,
+)
+from snipemount.model.forwarding import (
+    FailureReason,
+    ForwardRequest,
+    Merged,
+    RefusalReason,
+    RequestFailed,
+    RequestRefused,
+)
+
+IDS = st.integers(0, 2**31)
+TIMES_MS = st.floats(0.0, 1e6)
+# Header bytes of a caller need not be valid UTF-8.
+HEADER_TEXTS = st.binary(max_size=20).map(
+    lambda b: b.decode("utf-8", "surrogateescape")
+)
+REQUESTS = st.builds(
+    ForwardRequest,
+    HEADER_TEXTS,
+    st.sampled_from(["GET", "POST"]),
+    HEADER_TEXTS,
+    HEADER_TEXTS,
+    st.lists(st.tuples(HEADER_TEXTS, HEADER_TEXTS), max_size=3).map(tuple),
+    st.binary(max_size=50),
+    st.none() | TIMES_MS,
+)
+OUTCOMES = st.one_of(
+    st.builds(
+        Merged,
+        st.lists(HEADER_TEXTS, max_size=3).map(tuple),
+        IDS,
+        st.binary(max_size=64),
+    ),
+    st.builds(RequestRefused, st.sampled_from(RefusalReason), TIMES_MS),
+    st.builds(RequestFailed, st.sampled_from(FailureReason)),
+)
+MESSAGES = st.one_of(
+    st.builds(
+        DelegatedQuery,
+        IDS,
+        st.text(max_size=10),
+        REQUESTS,
+        IDS,
+        TIMES_MS,
+        TIMES_MS,
+        st.booleans(),
+    ),
+    st.builds(QueryAccepted, IDS),
+    st.builds(QueryDeclined, IDS, st.sampled_from(DeclineReason)),
+    st.builds(QueryRunning, IDS),
+    st.builds(QueryEnded, IDS, OUTCOMES, TIMES_MS),
+    st.builds(QueryCancelled, IDS),
+    st.builds(CoordinatorStopping),
+)
+
+
+@then("any message between a delegating daemon and a coordinator survives its encoding")
+def step_survives(context):
+    @for_any(MESSAGES)
+    def check(message):
+        decoded = decode_delegation(encode_delegation(message))
+        assert attrs.asdict(decoded) == attrs.asdict(message)
+
+    check()
+
+
+@then("bytes that are no message are refused")
+def step_refused(context):
+    @for_any(st.binary(max_size=40))
+    def check(frame):
+        try:
+            message = decode_delegation(frame)
+        except DecodeError:
+            return
+        assert decode_delegation(encode_delegation(message)) == message
+
+    check()
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from serving_world import ServingWorld, make_configuration, make_leaf
 
+from snipemount.decisions.limit_shares import LimitShares
 from snipemount.errors import DecodeError
 from snipemount.experiments.fakes import FakePlatform, PlatformFaults
 from snipemount.ports.platform import Kind
@@ -53,7 +54,7 @@
 def add_daemon(context, number, zone, seeds=(), first_start=True):
     """Start a daemon whose feed uses the shared store and relays."""
     world = ServingWorld(zone=zone, timers=context.timers)
-    world.serving_context.daemon_names = frozenset()
+    world.serving_context.limit_shares = LimitShares(world.serving_context.own_name)
     address = DaemonAddress(f"daemon-{number}", zone, f"10.0.0.{number}", 1)
     platform = FakePlatform(context.store, context.timers, context.faults)
     feeds = []
@@ -73,6 +74,7 @@
         tuple(seeds),
         Random(number),
         logger,
+        lambda daemons: None,
     )
     feeds.append(feed)
     feed.start(first_start)
--- a/tests/steps/fleet_world.py
+++ b/tests/steps/fleet_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 import attrs
@@ -12,6 +13,7 @@
 from snipemount.decisions.extra_attempts import ExtraAttemptLimit
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_directory import LeafDirectory
+from snipemount.decisions.vm_capacity import legs_per_s, max_running_legs
 from snipemount.decisions.zone_reachability import ZoneReachability
 from snipemount.model.configuration import (
     CallerLimits,
@@ -21,10 +23,17 @@
     ToService,
 )
 from snipemount.model.forwarding import Forwarded, ForwardRequest, Merged
+from snipemount.ports.relay import DaemonAddress
 from snipemount.ports.serving_metrics import NoServingMetrics
 from snipemount.serving.context import ServingContext
+from snipemount.serving.coordinator_links import CoordinatorLinks
+from snipemount.serving.delegated_queries import DelegatedQueries
 from snipemount.serving.gateway import Gateway
 from snipemount.serving.request_log import RequestLog
+from snipemount.standins.local_delegation import (
+    LocalDelegation,
+    LocalDelegationClient,
+)
 from snipemount.standins.modelled_vm import ModelledVm, ModelledVmLeafs
 from snipemount.standins.scripted_leafs import ScriptedLeafs
 from snipemount.timers import VirtualTimers
@@ -78,6 +87,17 @@
         return served and self.elapsed_ms <= OBJECTIVE_MS
 
 
+class CountingMetrics(NoServingMetrics):
+    """Counts the extra attempts that budgets granted, by cause."""
+
+    def __init__(self) -> None:
+        self.granted: Counter[str] = Counter()
+
+    def extra_attempt(self, cause: str, granted: bool) -> None:
+        """Count an extra attempt that was granted."""
+        self.granted[cause] += granted
+
+
 class FleetDaemon:
     """A daemon on a modelled VM."""
 
@@ -95,13 +115,26 @@
             ExtraAttemptLimit(0.2, 160.0, 10_000.0),
             ZoneReachability(zone),
             structlog.wrap_logger(None, processors=[self._capture]),
-            NoServingMetrics(),
+            CountingMetrics(),
             ColdLimit(1.5, 5.0),
             name,
         )
+        self.context.is_shard = lambda service: service in self.gateway.shards
+        capacity = legs_per_s(*size)
+        self.address = DaemonAddress(name, zone, name, 1, 2, capacity)
+        self.coordinators = CoordinatorLinks(
+            self.context,
+            LocalDelegationClient(fleet.delegation, name),
+            self.address,
+            lambda: self.gateway.shards,
+        )
         log = RequestLog(self.context.logger, self.context.metrics)
-        self.gateway = Gateway(self.context, log)
+        self.gateway = Gateway(self.context, log, self.coordinators)
         self.gateway.put_in_force(configuration())
+        self.queries = DelegatedQueries(
+            self.context, self.gateway, max_running_legs(capacity)
+        )
+        self.peer = fleet.delegation.add(name, self.vm, self.queries)
 
     def _capture(self, logger, method, event):
         self.lines.append(event)
@@ -113,6 +146,7 @@
 
     def __init__(self) -> None:
         self.timers = VirtualTimers()
+        self.delegation = LocalDelegation(self.timers)
         self.leafs = ScriptedLeafs(self.timers)
         self.random = Random(7)
         self.daemons: list[FleetDaemon] = []
@@ -138,10 +172,12 @@
             script.body = self.random.randbytes(PART_BYTES)
             offset_ms = self.random.uniform(0.0, PAUSE_PERIOD_MS)
             self.timers.call_later(offset_ms, lambda s=script: self._pause(s))
-        names = frozenset(daemon.name for daemon in self.daemons)
+        addresses = tuple(daemon.address for daemon in self.daemons)
         for daemon in self.daemons:
             daemon.context.directory.replace_all(leafs, 0.0)
-            daemon.context.daemon_names = names
+            daemon.context.add_daemons(addresses)
+            daemon.coordinators.set_daemons(addresses)
+            daemon.coordinators.start()
 
     def _pause(self, script) -> None:
         script.paused_until_ms = self.timers.now_ms() + PAUSE_MS
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -12,6 +12,7 @@
 from snipemount.decisions.extra_attempts import ExtraAttemptLimit
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_directory import LeafDirectory
+from snipemount.decisions.limit_shares import LimitShares
 from snipemount.decisions.zone_reachability import ZoneReachability
 from snipemount.model.configuration import (
     CallerLimits,
@@ -134,8 +135,8 @@
             self.metrics,
             ColdLimit(1.5, 5.0),
             "own",
-            daemon_names=frozenset(["own"]),
         )
+        self.serving_context.limit_shares = LimitShares("own", frozenset(["own"]))
         self.timers.call_every(100.0, self.serving_context.probe_zones)
         self.gateway = Gateway(self.serving_context, RequestLog(logger, self.metrics))
         self.samples: list[ServingSample] = []
