Hand newer configurations on between daemons that share queries

Cause: a query runs only where both daemons have its version in force; 50 queries were declined by two coordinators for other_configuration and run on small VMs. Change: over each link both ends announce their version; who stays behind for 80 ms asks for the stored object, at one daemon at a time, puts it in force and relays it to its followers. Only newer versions are applied, as before. Why it works: the newest configuration reaches every daemon that reaches any other. Result: the scenario 'A newer configuration reaches daemons that the store does not answer' fails without it.

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -8,6 +8,9 @@
 
 from ..errors import DecodeError
 from ..model.delegation import (
+    ConfigurationAnnounced,
+    ConfigurationOffered,
+    ConfigurationRequested,
     CoordinatorStopping,
     DeclineReason,
     DelegatedQuery,
@@ -27,6 +30,8 @@
     RequestOutcome,
     RequestRefused,
 )
+from ..ports.platform import Kind
+from .relay_codec import decode_object, encode_object
 
 QUERY = 0
 ACCEPTED = 1
@@ -35,6 +40,9 @@
 ENDED = 4
 CANCELLED = 5
 STOPPING = 6
+CONFIGURATION_ANNOUNCED = 7
+CONFIGURATION_REQUESTED = 8
+CONFIGURATION_OFFERED = 9
 
 MERGED = 0
 REFUSED = 1
@@ -62,6 +70,12 @@
             return [CANCELLED, query_id]
         case CoordinatorStopping():
             return [STOPPING]
+        case ConfigurationAnnounced(version):
+            return [CONFIGURATION_ANNOUNCED, version]
+        case ConfigurationRequested():
+            return [CONFIGURATION_REQUESTED]
+        case ConfigurationOffered(stored):
+            return [CONFIGURATION_OFFERED, encode_object(stored)]
 
 
 def decode_delegation(frame: bytes) -> DelegationMessage:
@@ -96,6 +110,13 @@
         return QueryCancelled(_integer(*fields))
     if tag == STOPPING and not fields:
         return CoordinatorStopping()
+    if tag == CONFIGURATION_ANNOUNCED:
+        return ConfigurationAnnounced(_integer(*fields))
+    if tag == CONFIGURATION_REQUESTED and not fields:
+        return ConfigurationRequested()
+    if tag == CONFIGURATION_OFFERED:
+        (stored,) = fields
+        return ConfigurationOffered(decode_object(Kind.CONFIGURATION, stored))
     raise ValueError(f"unknown message type {tag!r}")
 
 
--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -37,9 +37,9 @@
 def _encode_message(message: RelayMessage) -> list[Any]:
     match message:
         case RelayListing(kind, version, objects):
-            return [LISTING, kind.value, version, [_encode_object(o) for o in objects]]
+            return [LISTING, kind.value, version, [encode_object(o) for o in objects]]
         case RelayChange(stored):
-            return [CHANGE, stored.kind.value, _encode_object(stored)]
+            return [CHANGE, stored.kind.value, encode_object(stored)]
         case RelayRemoval(kind, name):
             return [REMOVAL, kind.value, name]
         case RelayConfirmation(kind, version):
@@ -73,10 +73,10 @@
             return RelayListing(
                 object_kind,
                 int(version),
-                tuple(_decode_object(object_kind, o) for o in objects),
+                tuple(decode_object(object_kind, o) for o in objects),
             )
         case [1, kind, stored]:
-            return RelayChange(_decode_object(Kind(kind), stored))
+            return RelayChange(decode_object(Kind(kind), stored))
         case [2, kind, name]:
             return RelayRemoval(Kind(kind), str(name))
         case [3, kind, version]:
@@ -92,7 +92,8 @@
     raise ValueError("unknown message type or wrong number of fields")
 
 
-def _encode_object(stored: StoredObject) -> list[Any]:
+def encode_object(stored: StoredObject) -> list[Any]:
+    """Return the fields of a stored object, without its kind."""
     return [
         stored.name,
         stored.version,
@@ -102,11 +103,18 @@
     ]
 
 
-def _decode_object(kind: Kind, fields: list[Any]) -> StoredObject:
+def decode_object(kind: Kind, fields: list[Any]) -> StoredObject:
+    """Return the stored object of these fields.
+
+    Raises
+    ------
+    TypeError, ValueError
+        When a field is missing or malformed.
+    """
     name, version, spec, status, created = fields
     if not isinstance(spec, dict) or not isinstance(status, dict | None):
         raise TypeError("spec or status is not a map")
     return StoredObject(kind, str(name), int(version), spec, status, int(created))
 
 
-__all__ = ["decode_relay", "encode_relay"]
+__all__ = ["decode_object", "decode_relay", "encode_object", "encode_relay"]
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -109,21 +109,13 @@
             WebsocketDelegationClient(self.logger),
             own,
             lambda: self.gateway.shards,
+            lambda: self._store_feed.exchange,
         )
         self.gateway = Gateway(
             self._context,
             RequestLog(self.logger, self._metrics),
             self._coordinators,
         )
-        self._delegated_queries = DelegatedQueries(
-            self._context, self.gateway, max_running_legs(own.legs_per_s)
-        )
-        self._delegation_server = WebsocketDelegationServer(
-            settings.queries.host,
-            settings.queries.port,
-            self._delegated_queries,
-            self.logger,
-        )
         store = settings.store
         self._store = StoreClient(
             PlatformSettings(f"http://{store.host}:{store.port}"), self._metrics
@@ -149,6 +141,18 @@
             self.logger,
             self._coordinators.set_daemons,
         )
+        self._delegated_queries = DelegatedQueries(
+            self._context,
+            self.gateway,
+            self._store_feed.exchange,
+            max_running_legs(own.legs_per_s),
+        )
+        self._delegation_server = WebsocketDelegationServer(
+            settings.queries.host,
+            settings.queries.port,
+            self._delegated_queries,
+            self.logger,
+        )
         self._caller_server = CallerServer(
             self.gateway, lambda: self._delegated_queries.in_flight
         )
--- a/src/snipemount/model/delegation.py
+++ b/src/snipemount/model/delegation.py
@@ -8,6 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    from ..ports.platform import StoredObject
     from .forwarding import ForwardRequest, RequestOutcome
 
 
@@ -93,6 +94,28 @@
     """The coordinator stops: it completes its queries and takes no more."""
 
 
+@attrs.frozen
+class ConfigurationAnnounced:
+    """Version of the configuration that the sender has in force; 0 for none."""
+
+    version: int
+
+
+@attrs.frozen
+class ConfigurationRequested:
+    """The sender wants the configuration that the receiver has in force."""
+
+
+@attrs.frozen
+class ConfigurationOffered:
+    """The stored configuration that the sender has in force."""
+
+    stored: StoredObject
+
+
+ConfigurationMessage = (
+    ConfigurationAnnounced | ConfigurationRequested | ConfigurationOffered
+)
 DelegationMessage = (
     DelegatedQuery
     | QueryAccepted
@@ -101,9 +124,14 @@
     | QueryEnded
     | QueryCancelled
     | CoordinatorStopping
+    | ConfigurationMessage
 )
 
 __all__ = [
+    "ConfigurationAnnounced",
+    "ConfigurationMessage",
+    "ConfigurationOffered",
+    "ConfigurationRequested",
     "CoordinatorStopping",
     "DeclineReason",
     "DelegatedQuery",
--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -8,6 +8,9 @@
 from ..decisions.coordinators import ranked_coordinators, zones_with_most_shards
 from ..decisions.quantile import QuantileEstimate
 from ..model.delegation import (
+    ConfigurationAnnounced,
+    ConfigurationOffered,
+    ConfigurationRequested,
     CoordinatorStopping,
     QueryAccepted,
     QueryCancelled,
@@ -23,6 +26,7 @@
     from ..model.forwarding import RequestOutcome
     from ..ports.delegation import DelegationLink, DelegationPort
     from ..ports.relay import DaemonAddress
+    from .configuration_exchange import ConfigurationExchange
     from .context import ServingContext
 
 MAX_LINKS = 6
@@ -71,12 +75,19 @@
         Gives timers and logger.
     port : DelegationPort
         Opens connections.
+    exchange : ConfigurationExchange
+        Hands on the configuration in force.
     """
 
     def __init__(
-        self, daemon: DaemonAddress, context: ServingContext, port: DelegationPort
+        self,
+        daemon: DaemonAddress,
+        context: ServingContext,
+        port: DelegationPort,
+        exchange: ConfigurationExchange,
     ) -> None:
         self.daemon = daemon
+        self._exchange = exchange
         self._context = context
         self._port = port
         self._link: DelegationLink | None = None
@@ -160,11 +171,14 @@
 
     def _on_open(self) -> None:
         self._open = True
+        assert self._link is not None
+        self._exchange.add_link(self._link)
         self._context.logger.info("coordinator_linked", coordinator=self.daemon.name)
 
     def _drop(self) -> None:
         link, self._link = self._link, None
         if link is not None:
+            self._exchange.remove_link(link)
             link.close()
         self._open = self._stopping = False
         self._suspect_since_ms = None
@@ -188,6 +202,13 @@
                 self._pending.pop(query_id).on_declined(reason)
             case QueryEnded(query_id, outcome, ran_ms) if query_id in self._pending:
                 self._pending.pop(query_id).on_ended(outcome, ran_ms)
+            case (
+                ConfigurationAnnounced()
+                | ConfigurationRequested()
+                | ConfigurationOffered()
+            ):
+                assert self._link is not None
+                self._exchange.on_message(self._link, message)
 
 
 class CoordinatorLinks:
@@ -205,6 +226,8 @@
         This daemon.
     shards : Callable
         Returns the shards of the configured queries.
+    exchange : Callable
+        Returns what hands on the configuration in force.
 
     Attributes
     ----------
@@ -218,8 +241,10 @@
         port: DelegationPort,
         own: DaemonAddress,
         shards: Callable[[], frozenset[str]],
+        exchange: Callable[[], ConfigurationExchange],
     ) -> None:
         self._context = context
+        self._exchange = exchange
         self._port = port
         self._own = own
         self._shards = shards
@@ -280,7 +305,9 @@
         links = {}
         for daemon in wanted:
             link = self._links.pop(daemon, None)
-            links[daemon] = link or CoordinatorLink(daemon, self._context, self._port)
+            links[daemon] = link or CoordinatorLink(
+                daemon, self._context, self._port, self._exchange()
+            )
         kept = {d: link for d, link in self._links.items() if not link.retire()}
         self._links = links | kept
 
--- a/src/snipemount/serving/delegated_queries.py
+++ b/src/snipemount/serving/delegated_queries.py
@@ -5,6 +5,9 @@
 from typing import TYPE_CHECKING
 
 from ..model.delegation import (
+    ConfigurationAnnounced,
+    ConfigurationOffered,
+    ConfigurationRequested,
     CoordinatorStopping,
     DeclineReason,
     DelegatedQuery,
@@ -21,6 +24,7 @@
     from ..model.delegation import DelegationMessage
     from ..model.forwarding import RequestOutcome
     from ..ports.delegation import DelegationLink
+    from .configuration_exchange import ConfigurationExchange
     from .context import ServingContext
     from .gateway import Gateway
     from .run import Run
@@ -35,6 +39,8 @@
         State that all requests share.
     gateway : Gateway
         Runs the queries under the configuration in force.
+    exchange : ConfigurationExchange
+        Hands on the configuration in force.
     max_running_legs : int
         Legs that this VM bears; with more of them running, queries are declined.
 
@@ -45,11 +51,16 @@
     """
 
     def __init__(
-        self, context: ServingContext, gateway: Gateway, max_running_legs: int
+        self,
+        context: ServingContext,
+        gateway: Gateway,
+        exchange: ConfigurationExchange,
+        max_running_legs: int,
     ) -> None:
         self._context = context
         self._gateway = gateway
         self.max_running_legs = max_running_legs
+        self._exchange = exchange
         self._links: dict[DelegationLink, dict[int, Run]] = {}
         self.stopping = False
 
@@ -67,11 +78,13 @@
     def on_link_opened(self, link: DelegationLink) -> None:
         """Record the connection of a daemon that delegates."""
         self._links[link] = {}
+        self._exchange.add_link(link)
         if self.stopping:
             link.send(CoordinatorStopping())
 
     def on_link_ended(self, link: DelegationLink) -> None:
         """Cancel the queries of a connection that has ended."""
+        self._exchange.remove_link(link)
         for run in self._links.pop(link, {}).values():
             run.cancel()
 
@@ -84,6 +97,12 @@
                 run = self._links.get(link, {}).pop(query_id, None)
                 if run is not None:
                     run.cancel()
+            case (
+                ConfigurationAnnounced()
+                | ConfigurationRequested()
+                | ConfigurationOffered()
+            ):
+                self._exchange.on_message(link, message)
 
     def _take(self, link: DelegationLink, query: DelegatedQuery) -> None:
         reason = self._reason_to_decline(query)
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -20,6 +20,7 @@
     RelayStoreLost,
 )
 from ..ports.platform import Failed, Kind, Listed
+from .configuration_exchange import ConfigurationExchange
 from .kind_feed import KindFeed
 from .leaf_evidence import LeafEvidence
 from .registration import REGISTRY_PERIOD_MS, Registration, registered_daemon
@@ -37,7 +38,7 @@
     from structlog.typing import FilteringBoundLogger
 
     from ..model.relay import RelayMessage
-    from ..ports.platform import ListResult, PlatformPort
+    from ..ports.platform import ListResult, PlatformPort, StoredObject
     from ..ports.relay import DaemonAddress, RelayPort
     from .context import ServingContext
     from .gateway import Gateway
@@ -82,6 +83,11 @@
         Receives changes of registration and feed.
     on_daemons : Callable
         Called with the registered daemons after each listing of the registry.
+
+    Attributes
+    ----------
+    exchange : ConfigurationExchange
+        Hands configurations on to other daemons and gets newer ones from them.
     """
 
     def __init__(
@@ -107,13 +113,22 @@
         self._random = random
         self._logger = logger
         self._leafs = LeafSubscriber(context, decoders, logger)
+        self._configurations = ConfigurationSubscriber(
+            gateway, decoders, logger, lambda: self.exchange.announce()
+        )
+        self.exchange: ConfigurationExchange = ConfigurationExchange(
+            context,
+            lambda: gateway.version,
+            lambda: self._configurations.in_force,
+            self._apply_offered,
+        )
         timers = context.timers
         publish = self._publish
         self._kinds = {
             Kind.CONFIGURATION: KindFeed(
                 platform,
                 Kind.CONFIGURATION,
-                ConfigurationSubscriber(gateway, decoders, logger),
+                self._configurations,
                 timers,
                 random,
                 publish,
@@ -190,6 +205,12 @@
             self._evidence.add_reported(message.leafs)
             self._evidence.forward(message.leafs)
 
+    def _apply_offered(self, stored: StoredObject) -> None:
+        """Apply a configuration from another daemon, and relay it to followers."""
+        change = RelayChange(stored)
+        self._kinds[Kind.CONFIGURATION].apply(change)
+        self._publish(change)
+
     def _send_evidence(self) -> None:
         leafs = self._evidence.take_unreported()
         if not leafs:
--- a/src/snipemount/serving/store_subscribers.py
+++ b/src/snipemount/serving/store_subscribers.py
@@ -9,6 +9,8 @@
 from ..errors import DecodeError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from structlog.typing import FilteringBoundLogger
 
     from ..model.configuration import Configuration
@@ -40,6 +42,8 @@
     gateway: Gateway
     decoders: StoreDecoders
     logger: FilteringBoundLogger
+    on_in_force: Callable[[], None]
+    in_force: StoredObject | None = None
 
     def listed(self, objects: tuple[StoredObject, ...]) -> None:
         """Apply the stored configuration, if there is one."""
@@ -61,6 +65,8 @@
                 before=before,
                 routes=len(configuration.routes),
             )
+            self.in_force = stored
+            self.on_in_force()
 
     def removed(self, name: str) -> None:
         """Keep the configuration in force: an accepted one is never reverted."""
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -121,7 +121,8 @@
   # The route of a query must not change on its way.
   Scenario: Daemons with different configurations don't run each other's queries
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
-    When the large VMs have a newer configuration for 300 ms
+    When no daemon hands configurations on
+    And the large VMs have a newer configuration for 300 ms
     And a caller of a small VM sends a "find" request
     And 500 ms pass on all VMs
     Then the answer is complete
@@ -135,6 +136,23 @@
     Then the answer is complete
     And the query was delegated once
 
+  # The store answers some daemons and not others: without this, all queries between
+  # them were run on small VMs until it answered all.
+  Scenario: A newer configuration reaches daemons that the store does not answer
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When the large VMs have a newer configuration for 300 ms
+    Then each daemon has the newer configuration
+    And no daemon was sent the configuration more than twice
+    When a caller of a small VM sends a "find" request
+    And 500 ms pass on all VMs
+    Then the answer is complete
+    And the query was delegated once
+
+  Scenario: A small VM hands a newer configuration on to all coordinators it is linked to
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When one small VM has a newer configuration for 1000 ms
+    Then each daemon has the newer configuration
+
   Scenario: A request's id leads through the logs of both daemons
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
     When all leafs of 1 shard hang
--- a/tests/steps/delegation_codec_steps.py
+++ b/tests/steps/delegation_codec_steps.py
@@ -10,6 +10,9 @@
 from snipemount.adapters.delegation_codec import decode_delegation, encode_delegation
 from snipemount.errors import DecodeError
 from snipemount.model.delegation import (
+    ConfigurationAnnounced,
+    ConfigurationOffered,
+    ConfigurationRequested,
     CoordinatorStopping,
     DeclineReason,
     DelegatedQuery,
@@ -27,6 +30,7 @@
     RequestFailed,
     RequestRefused,
 )
+from snipemount.ports.platform import Kind, StoredObject
 
 IDS = st.integers(0, 2**31)
 TIMES_MS = st.floats(0.0, 1e6)
@@ -54,6 +58,13 @@
     st.builds(RequestRefused, st.sampled_from(RefusalReason), TIMES_MS),
     st.builds(RequestFailed, st.sampled_from(FailureReason)),
 )
+STORED = st.builds(
+    StoredObject,
+    st.just(Kind.CONFIGURATION),
+    st.text(max_size=10),
+    IDS,
+    st.dictionaries(st.text(max_size=5), st.integers(0, 9) | st.text(max_size=5)),
+)
 MESSAGES = st.one_of(
     st.builds(
         DelegatedQuery,
@@ -71,6 +82,9 @@
     st.builds(QueryEnded, IDS, OUTCOMES, TIMES_MS),
     st.builds(QueryCancelled, IDS),
     st.builds(CoordinatorStopping),
+    st.builds(ConfigurationAnnounced, IDS),
+    st.builds(ConfigurationRequested),
+    st.builds(ConfigurationOffered, STORED),
 )
 
 
