Let the largest VM of a zone relay the store

Change: the order is by capacity, then by name; equal VMs keep the order by name. Why it works: the order is total and the same for all that know the same registry.

--- a/src/snipemount/decisions/relay_order.py
+++ b/src/snipemount/decisions/relay_order.py
@@ -1,7 +1,8 @@
 """Which daemons relay the platform's store to others, in order of preference.
 
-In each availability zone the daemon with the first name watches the store, and the
-others watch that daemon; when it doesn't respond, the next one takes its place.
+In each availability zone the daemon on the largest VM watches the store, of equal ones
+that with the first name. The others watch that daemon; when it doesn't respond, the
+next one takes its place.
 """
 
 from __future__ import annotations
@@ -29,8 +30,12 @@
         Address of this daemon.
     """
     zone = (daemon for daemon in daemons if daemon.zone == own.zone)
-    preceding = (daemon for daemon in zone if daemon.name < own.name)
-    return sorted(preceding, key=lambda daemon: daemon.name)
+    preceding = (daemon for daemon in zone if _order(daemon) < _order(own))
+    return sorted(preceding, key=_order)
+
+
+def _order(daemon: DaemonAddress) -> tuple[float, str]:
+    return -daemon.legs_per_s, daemon.name
 
 
 __all__ = ["relay_candidates"]
