--- a/src/snipemount/adapters/delegation_websocket.py
+++ b/src/snipemount/adapters/delegation_websocket.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from websockets.asyncio.client import connect
-from websockets.asyncio.server import broadcast, serve
+from websockets.asyncio.server import broadcast
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from ..errors import DecodeError
 from ..ports.delegation import DelegationLink, DelegationPort
+from .daemon_websockets import connect_to_daemon, listen_for_daemons
 from .delegation_codec import decode_delegation, encode_delegation
 
 if TYPE_CHECKING:
@@ -24,9 +24,7 @@
     from ..ports.delegation import DelegationHandler
     from ..ports.relay import DaemonAddress
 
-MAX_FRAME_BYTES = 2**22
 MAX_UNSENT_BYTES = 2**20
-OPEN_TIMEOUT_S = 0.6
 
 
 class WebsocketDelegationLink(DelegationLink):
@@ -85,13 +83,8 @@
 
     async def listen(self) -> None:
         """Start to listen for daemons that delegate."""
-        self._server = await serve(
-            self._serve_link,
-            self._host,
-            self._port,
-            max_size=MAX_FRAME_BYTES,
-            compression=None,
-            ping_interval=None,
+        self._server = await listen_for_daemons(
+            self._serve_link, self._host, self._port
         )
 
     async def close(self) -> None:
@@ -150,15 +143,7 @@
         on_end: Callable[[], None],
     ) -> None:
         try:
-            async with connect(
-                f"ws://{daemon.host}:{daemon.query_port}/",
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                ping_interval=None,
-                open_timeout=OPEN_TIMEOUT_S,
-                close_timeout=OPEN_TIMEOUT_S,
-                proxy=None,
-            ) as connection:
+            async with connect_to_daemon(daemon.host, daemon.query_port) as connection:
                 link.connection = connection
                 on_open()
                 while True:
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from websockets.asyncio.client import connect
-from websockets.asyncio.server import broadcast, serve
+from websockets.asyncio.server import broadcast
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from ..errors import DecodeError
 from ..ports.relay import RelayPort
+from .daemon_websockets import connect_to_daemon, listen_for_daemons
 from .relay_codec import decode_relay, encode_relay
 
 if TYPE_CHECKING:
@@ -23,8 +23,6 @@
     from ..model.relay import RelayMessage
     from ..ports.relay import DaemonAddress
 
-MAX_FRAME_BYTES = 2**24
-OPEN_TIMEOUT_S = 0.6
 RECEIVE_TIMEOUT_S = 1.5  # three missed `RelayHeartbeat` messages
 MAX_UNSENT_BYTES = 2**22  # per follower
 
@@ -66,13 +64,8 @@
 
     async def listen(self) -> None:
         """Start to listen for followers."""
-        self._server = await serve(
-            self._serve_follower,
-            self._host,
-            self._port,
-            max_size=MAX_FRAME_BYTES,
-            compression=None,
-            ping_interval=None,
+        self._server = await listen_for_daemons(
+            self._serve_follower, self._host, self._port
         )
 
     def follow(
@@ -156,15 +149,7 @@
         on_end: Callable[[], None],
     ) -> None:
         try:
-            async with connect(
-                f"ws://{daemon.host}:{daemon.port}/",
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                ping_interval=None,
-                open_timeout=OPEN_TIMEOUT_S,
-                close_timeout=OPEN_TIMEOUT_S,
-                proxy=None,
-            ) as connection:
+            async with connect_to_daemon(daemon.host, daemon.port) as connection:
                 if self._receive_task is asyncio.current_task():
                     self._followed_connection = connection
                 while True:
