Keep both runs of a query within the attempts of its route

Cause: a coordinator that did not accept in 25 ms may run the query all the same, hedges included, and the next one had all attempts of the route again. Ruled out: a lagging loop of the small VM, the timers fired on time in nine of ten cases. Change: a coordinator makes one attempt at each shard of its own accord and requests each further one from the daemon that delegated, which counts and grants it unless it has given the query up. A repeat starts with the counted attempts; when too few shards may still be asked it fails at once. Why it works: no attempt is made that the one counter has not counted, whatever messages are lost.

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -15,6 +15,8 @@
     DeclineReason,
     DelegatedQuery,
     DelegationMessage,
+    FurtherAttemptsGranted,
+    FurtherAttemptsRequested,
     QueryAccepted,
     QueryCancelled,
     QueryDeclined,
@@ -43,6 +45,8 @@
 CONFIGURATION_ANNOUNCED = 7
 CONFIGURATION_REQUESTED = 8
 CONFIGURATION_OFFERED = 9
+FURTHER_ATTEMPTS_REQUESTED = 10
+FURTHER_ATTEMPTS_GRANTED = 11
 
 MERGED = 0
 REFUSED = 1
@@ -60,6 +64,10 @@
             return [QUERY, *_encode_query(message)]
         case QueryAccepted(query_id):
             return [ACCEPTED, query_id]
+        case FurtherAttemptsRequested(query_id, positions):
+            return [FURTHER_ATTEMPTS_REQUESTED, query_id, positions]
+        case FurtherAttemptsGranted(query_id, positions):
+            return [FURTHER_ATTEMPTS_GRANTED, query_id, positions]
         case QueryDeclined(query_id, reason):
             return [DECLINED, query_id, reason.value]
         case QueryRunning(query_id):
@@ -98,6 +106,12 @@
         return _decode_query(fields)
     if tag == ACCEPTED:
         return QueryAccepted(_integer(*fields))
+    if tag == FURTHER_ATTEMPTS_REQUESTED:
+        query_id, positions = fields
+        return FurtherAttemptsRequested(_integer(query_id), _integers(positions))
+    if tag == FURTHER_ATTEMPTS_GRANTED:
+        query_id, positions = fields
+        return FurtherAttemptsGranted(_integer(query_id), _integers(positions))
     if tag == DECLINED:
         query_id, reason = fields
         return QueryDeclined(_integer(query_id), DeclineReason(reason))
@@ -128,7 +142,7 @@
         query.version,
         query.answer_within_ms,
         query.time_left_ms,
-        query.is_repeat,
+        query.earlier_attempts,
         _to_bytes(request.request_id),
         request.method,
         _to_bytes(request.target),
@@ -140,7 +154,7 @@
 
 
 def _decode_query(fields: list[Any]) -> DelegatedQuery:
-    query_id, sender, version, answer_within_ms, time_left_ms, is_repeat = fields[:6]
+    query_id, sender, version, answer_within_ms, time_left_ms, attempts = fields[:6]
     request_id, method, target, host, headers, body, deadline_ms = fields[6:]
     if not isinstance(body, bytes):
         raise TypeError("the request's body is not a byte string")
@@ -160,7 +174,7 @@
         _integer(version),
         float(answer_within_ms),
         float(time_left_ms),
-        bool(is_repeat),
+        _integers(attempts),
     )
 
 
@@ -199,6 +213,10 @@
     return value
 
 
+def _integers(values: Any) -> tuple[int, ...]:
+    return tuple(_integer(value) for value in values)
+
+
 def _to_bytes(text: str) -> bytes:
     """Return header text as the caller's bytes, which may not be valid UTF-8."""
     return text.encode("utf-8", "surrogateescape")
--- a/src/snipemount/model/delegation.py
+++ b/src/snipemount/model/delegation.py
@@ -30,8 +30,9 @@
         Time after which an answer without all parts is due.
     time_left_ms : float
         Time left until the deadline.
-    is_repeat : bool
-        Whether another daemon may have run it, so that each attempt is an extra one.
+    earlier_attempts : tuple of int
+        Attempts that other daemons may have made at each shard, in the route's order
+        of shards; empty if no other daemon may have run the query.
     """
 
     query_id: int
@@ -40,7 +41,7 @@
     version: int
     answer_within_ms: float
     time_left_ms: float
-    is_repeat: bool
+    earlier_attempts: tuple[int, ...]
 
 
 class DeclineReason(Enum):
@@ -58,6 +59,41 @@
     query_id: int
 
 
+@attrs.frozen
+class FurtherAttemptsRequested:
+    """The coordinator wants to make a second or later attempt at some shards.
+
+    Parameters
+    ----------
+    query_id : int
+        Number of the query on its connection.
+    positions : tuple of int
+        Positions of the shards in the route's order.
+    """
+
+    query_id: int
+    positions: tuple[int, ...]
+
+
+@attrs.frozen
+class FurtherAttemptsGranted:
+    """The coordinator may make one further attempt at each of some shards.
+
+    The daemon that delegates has counted them. It grants nothing for a query that it
+    has given up, so that both runs together stay within the attempts of the route.
+
+    Parameters
+    ----------
+    query_id : int
+        Number of the query on its connection.
+    positions : tuple of int
+        Positions of the shards in the route's order.
+    """
+
+    query_id: int
+    positions: tuple[int, ...]
+
+
 @attrs.frozen
 class QueryDeclined:
     """The coordinator has not run the query and will not run it."""
@@ -119,6 +155,8 @@
 DelegationMessage = (
     DelegatedQuery
     | QueryAccepted
+    | FurtherAttemptsRequested
+    | FurtherAttemptsGranted
     | QueryDeclined
     | QueryRunning
     | QueryEnded
@@ -136,6 +174,8 @@
     "DeclineReason",
     "DelegatedQuery",
     "DelegationMessage",
+    "FurtherAttemptsGranted",
+    "FurtherAttemptsRequested",
     "QueryAccepted",
     "QueryCancelled",
     "QueryDeclined",
--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -12,6 +12,8 @@
     ConfigurationOffered,
     ConfigurationRequested,
     CoordinatorStopping,
+    FurtherAttemptsGranted,
+    FurtherAttemptsRequested,
     QueryAccepted,
     QueryCancelled,
     QueryDeclined,
@@ -51,6 +53,10 @@
     def on_running(self) -> None:
         """Record that the coordinator still runs the query."""
 
+    @abstractmethod
+    def on_further_requested(self, positions: tuple[int, ...]) -> None:
+        """Count further attempts at the shards at some positions, and grant them."""
+
     @abstractmethod
     def on_declined(self, reason: DeclineReason) -> None:
         """Handle that the coordinator does not run the query."""
@@ -124,6 +130,11 @@
         if self._pending.pop(query_id, None) is not None and self._link is not None:
             self._link.send(QueryCancelled(query_id))
 
+    def grant(self, query_id: int, positions: tuple[int, ...]) -> None:
+        """Grant further attempts at the shards at some positions."""
+        if query_id in self._pending and self._link is not None:
+            self._link.send(FurtherAttemptsGranted(query_id, positions))
+
     def suspect(self) -> None:
         """Send no query until a message arrives; without one, connect anew."""
         if self._suspect_since_ms is None:
@@ -196,6 +207,10 @@
                 self._pending[query_id].on_accepted()
             case QueryRunning(query_id) if query_id in self._pending:
                 self._pending[query_id].on_running()
+            case FurtherAttemptsRequested(query_id, positions) if (
+                query_id in self._pending
+            ):
+                self._pending[query_id].on_further_requested(positions)
             case QueryDeclined(query_id, reason) if query_id in self._pending:
                 now_ms = self._context.timers.now_ms()
                 self._declined_until_ms = now_ms + DECLINED_PAUSE_MS
--- a/src/snipemount/serving/delegated_queries.py
+++ b/src/snipemount/serving/delegated_queries.py
@@ -11,6 +11,8 @@
     CoordinatorStopping,
     DeclineReason,
     DelegatedQuery,
+    FurtherAttemptsGranted,
+    FurtherAttemptsRequested,
     QueryAccepted,
     QueryCancelled,
     QueryDeclined,
@@ -19,6 +21,7 @@
 )
 from ..ports.delegation import DelegationHandler
 from .delegated_run import RUNNING_PERIOD_MS
+from .gather_run import GatherRun
 
 if TYPE_CHECKING:
     from ..model.delegation import DelegationMessage
@@ -97,6 +100,10 @@
                 run = self._links.get(link, {}).pop(query_id, None)
                 if run is not None:
                     run.cancel()
+            case FurtherAttemptsGranted(query_id, positions):
+                run = self._links.get(link, {}).get(query_id)
+                if isinstance(run, GatherRun):
+                    run.grant_further_attempts(positions)
             case (
                 ConfigurationAnnounced()
                 | ConfigurationRequested()
@@ -139,7 +146,10 @@
             ran_ms = self._context.timers.now_ms() - started_ms
             link.send(QueryEnded(query.query_id, outcome, ran_ms))
 
-        run = self._gateway.submit_delegated(query, done)
+        def request_further(positions: tuple[int, ...]) -> None:
+            link.send(FurtherAttemptsRequested(query.query_id, positions))
+
+        run = self._gateway.submit_delegated(query, done, request_further)
         if ended:
             return
         self._links[link][query.query_id] = run
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -19,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..model.configuration import Route
+    from ..model.configuration import Route, ToAllShards
     from ..model.delegation import DeclineReason
     from ..model.forwarding import ForwardRequest, RequestOutcome
     from ..model.query_stages import QueryStages
@@ -46,6 +47,8 @@
         The caller's request.
     route : Route
         Its route.
+    target : ToAllShards
+        The route's shards, and how many of them an answer needs.
     version : int
         Version of the configuration that the route belongs to.
     started_ms : float
@@ -56,6 +59,7 @@
 
     request: ForwardRequest
     route: Route
+    target: ToAllShards
     version: int
     started_ms: float
     deadline_at_ms: float
@@ -96,7 +100,10 @@
         self._query_id = 0
         self._sent_ms = 0.0
         self._heard_ms: float | None = None
-        self._may_have_run = False
+        # Attempts at each shard that earlier coordinators may have made.
+        self._earlier_attempts = [0] * len(query.target.shards)
+        # Those after the first that the present coordinator has been granted.
+        self._further_attempts: Counter[int] = Counter()
         self._own_run: Run | None = None
 
     def start(self) -> None:
@@ -136,6 +143,13 @@
         """Go on waiting."""
         self._heard_ms = self._context.timers.now_ms()
 
+    def on_further_requested(self, positions: tuple[int, ...]) -> None:
+        """Grant what the route's attempts allow."""
+        allowed = tuple(p for p in positions if self._attempts_left(p))
+        self._further_attempts.update(allowed)
+        if self._link is not None and allowed:
+            self._link.grant(self._query_id, allowed)
+
     def on_declined(self, reason: DeclineReason) -> None:
         """Ask another coordinator; this one has not run the query."""
         self._end_delegation(reason.value)
@@ -143,7 +157,7 @@
 
     def on_lost(self) -> None:
         """Ask another coordinator; this one may have run the query."""
-        self._may_have_run = True
+        self._count_possible_run()
         self._end_delegation("lost")
         self._ask_next()
 
@@ -158,9 +172,34 @@
         self._end_delegation("answered")
         self._finish(outcome)
 
+    @property
+    def _may_have_run(self) -> bool:
+        return any(self._earlier_attempts)
+
+    def _count_possible_run(self) -> None:
+        """Count the attempts of a coordinator that may have run the query."""
+        for position in range(len(self._earlier_attempts)):
+            self._earlier_attempts[position] += 1 + self._further_attempts[position]
+
+    def _attempts_left(self, position: int) -> bool:
+        """Return whether the present coordinator may make a further attempt."""
+        if position >= len(self._earlier_attempts):
+            return False
+        made = 1 + self._earlier_attempts[position] + self._further_attempts[position]
+        return made < self._query.route.max_attempts
+
+    def _can_repeat(self) -> bool:
+        """Return whether enough shards may still be asked."""
+        most = self._query.route.max_attempts
+        open_shards = sum(attempts < most for attempts in self._earlier_attempts)
+        return self._query.target.suffices(open_shards)
+
     def _ask_next(self) -> None:
         if self._done is None:
             return
+        if not self._can_repeat():
+            self._finish(RequestFailed(FailureReason.TOO_FEW_SHARDS))
+            return
         link = None
         if len(self._asked) < MAX_DELEGATIONS:
             link = self._links.choose(set(self._asked))
@@ -172,6 +211,7 @@
     def _delegate(self, link: CoordinatorLink) -> None:
         now_ms = self._context.timers.now_ms()
         query_id = self._links.take_query_id()
+        self._further_attempts.clear()
         self._link, self._query_id = link, query_id
         self._sent_ms, self._heard_ms = now_ms, None
         self._record("sent")
@@ -183,7 +223,7 @@
             self._query.version,
             answer_within_ms,
             self._query.deadline_at_ms - now_ms - self._links.hop.value_ms,
-            self._may_have_run,
+            tuple(self._earlier_attempts) if self._may_have_run else (),
         )
         link.send(query, self)
         timers = self._context.timers
@@ -218,7 +258,7 @@
         """Ask elsewhere, as the coordinator does not respond."""
         assert self._link is not None
         self._link.suspect()
-        self._may_have_run = True
+        self._count_possible_run()
         self._leave_coordinator(reason)
         self._ask_next()
 
@@ -244,7 +284,7 @@
         terms = RunTerms(
             self._query.deadline_at_ms,
             max(0.0, due_ms - (now_ms - self._query.started_ms)),
-            self._may_have_run,
+            tuple(self._earlier_attempts),
         )
         self._own_run = self._run_here(terms, self._finish)
 
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -180,10 +180,22 @@
         return None
 
     def submit_delegated(
-        self, query: DelegatedQuery, done: Callable[[RequestOutcome], None]
+        self,
+        query: DelegatedQuery,
+        done: Callable[[RequestOutcome], None],
+        request_further: Callable[[tuple[int, ...]], None],
     ) -> Run:
         """Run a query that another daemon delegates; `done` gets its outcome.
 
+        Parameters
+        ----------
+        query : DelegatedQuery
+            The query.
+        done : Callable
+            Called once with the outcome, possibly before this returns.
+        request_further : Callable
+            Asks that daemon for further attempts at the shards at some positions.
+
         Returns
         -------
         Run
@@ -202,7 +214,8 @@
         terms = RunTerms(
             now_ms + query.time_left_ms,
             max(0.0, query.answer_within_ms - lag_ms),
-            query.is_repeat,
+            query.earlier_attempts,
+            request_further,
         )
         return self._start(
             route,
@@ -294,7 +307,9 @@
             return run
 
         started_ms = context.timers.now_ms()
-        query = DelegatedRequest(request, route, self.version, started_ms, end_ms)
+        query = DelegatedRequest(
+            request, route, target, self.version, started_ms, end_ms
+        )
         return DelegatedRun(context, links, query, run_here, done)
 
     @staticmethod
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..decisions.record_merge import greatest_records
@@ -68,22 +69,34 @@
         self._target = target
         self._unsettled = len(target.shards)
         self._calls = [
-            ServiceCall(
-                context,
-                shard,
-                route,
-                request,
-                terms.deadline_at_ms,
-                self._on_settled,
-                is_repeat=terms.is_repeat,
-            )
-            for shard in target.shards
+            self._make_call(position, shard, request)
+            for position, shard in enumerate(target.shards)
         ]
+        self._wanted_further: list[int] = []
         self._next_check_ms = 0.0
         self._answer_due = False
         self._running_legs = 0
         self._sent_ms = 0.0
 
+    def _make_call(
+        self, position: int, shard: str, request: ForwardRequest
+    ) -> ServiceCall:
+        terms = self._terms
+        earlier = terms.earlier_attempts[position] if terms.earlier_attempts else 0
+        request_further = None
+        if terms.request_further is not None:
+            request_further = partial(self._request_further, position)
+        return ServiceCall(
+            self._context,
+            shard,
+            self._route,
+            request,
+            terms.deadline_at_ms,
+            self._on_settled,
+            earlier,
+            request_further,
+        )
+
     def start(self) -> None:
         """Ask every shard; refuse at once if too few have a leaf that can be asked."""
         context = self._context
@@ -99,6 +112,23 @@
             call.start()
         self._sent_ms = context.timers.now_ms() - self._started_ms
 
+    def grant_further_attempts(self, positions: tuple[int, ...]) -> None:
+        """Allow a further attempt at each of the shards at some positions."""
+        for position in positions:
+            if position < len(self._calls):
+                self._calls[position].grant_further_attempt()
+
+    def _request_further(self, position: int) -> None:
+        """Collect the requests of one iteration of the event loop, then send them."""
+        if not self._wanted_further:
+            self._context.timers.call_later(0.0, self._send_further_request)
+        self._wanted_further.append(position)
+
+    def _send_further_request(self) -> None:
+        positions, self._wanted_further = tuple(self._wanted_further), []
+        if not self._ended and self._terms.request_further is not None:
+            self._terms.request_further(positions)
+
     def unanswered(self) -> list[Unanswered]:
         """Return the shards without a successful answer, with their attempts."""
         return [
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -29,13 +29,18 @@
         Monotonic time at which the query ends with the answers at hand.
     answer_within_ms : float
         Time from its start after which an answer without all parts is due.
-    is_repeat : bool
-        Whether the query may have run before, so that each attempt is an extra one.
+    earlier_attempts : tuple of int
+        Attempts that other daemons may have made at each shard, in the target's order
+        of shards; empty if the query has not run before.
+    request_further : Callable or None
+        Asks for the permission to make a further attempt at each of the shards at
+        some positions; None if none is needed.
     """
 
     deadline_at_ms: float
     answer_within_ms: float
-    is_repeat: bool = False
+    earlier_attempts: tuple[int, ...] = ()
+    request_further: Callable[[tuple[int, ...]], None] | None = None
 
 
 class Run(ABC):
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -69,9 +69,12 @@
         Monotonic time after which nothing is sent.
     on_settled : Callable
         Called once when the call settles, unless it is cancelled.
-    is_repeat : bool
-        Whether another daemon may have sent the request to the service before, so
-        that the first attempt is an extra one too.
+    earlier_attempts : int
+        Attempts that other daemons may have made at the service; with any, the first
+        attempt is an extra one too.
+    request_further : Callable or None
+        Asks for the permission that each attempt needs once one may have run; None if
+        none is needed.
 
     Attributes
     ----------
@@ -99,7 +102,8 @@
         request: ForwardRequest,
         deadline_at_ms: float,
         on_settled: Callable[[ServiceCall], None],
-        is_repeat: bool = False,
+        earlier_attempts: int = 0,
+        request_further: Callable[[], None] | None = None,
     ) -> None:
         self._context = context
         self.service = service
@@ -111,10 +115,13 @@
         self._tried_leafs: set[str] = set()
         self._pending: list[PendingAttempt] = []
         self._ended_attempts: list[tuple[str, str, float]] = []
-        self._possible_runs = 0
+        self._earlier_attempts = earlier_attempts
+        self._possible_runs = earlier_attempts
+        self._request_further = request_further
+        self._further_requested = False
+        self._further_granted = False
         self._possible_arrivals = 0
         self._budget_taken = 0
-        self._first_is_extra = is_repeat
         self.settled = False
         self.answer: LeafAnswer | None = None
         self.failure: LeafAnswer | None = None
@@ -148,7 +155,7 @@
 
     def start(self) -> None:
         """Send the first attempt to the best leaf; settle if there is none."""
-        if self._first_is_extra:
+        if self._earlier_attempts > 0:
             if not self._take_budget("repeated") or not self._send_next_attempt():
                 self._settle()
             return
@@ -172,10 +179,35 @@
             or not self._has_other_leaf()
         ):
             return False
+        if self._awaits_permission():
+            self._request_permission()
+            return False
         return (
             self._take_budget("late", HEDGE_BUDGET_SHARE) and self._send_next_attempt()
         )
 
+    def grant_further_attempt(self) -> None:
+        """Make the further attempt that was asked for, if it is still of use."""
+        self._further_granted = True
+        if self.settled:
+            return
+        if self._pending:
+            self.hedge()
+        else:
+            self._retry_or_settle()
+
+    def _awaits_permission(self) -> bool:
+        return (
+            self._request_further is not None
+            and not self._further_granted
+            and self._possible_runs > self._earlier_attempts
+        )
+
+    def _request_permission(self) -> None:
+        if not self._further_requested and self._request_further is not None:
+            self._further_requested = True
+            self._request_further()
+
     def note_unresponsive_leafs(self) -> None:
         """Record leafs as unresponsive that exceed the typical latency by far."""
         now_ms = self._context.timers.now_ms()
@@ -215,7 +247,7 @@
         )
 
     def _take_budget(self, cause: str, share: float = 1.0) -> bool:
-        if self._possible_arrivals == 0 and not self._first_is_extra:
+        if self._possible_arrivals == 0 and self._earlier_attempts == 0:
             return True
         budget = self._context.budget(self.service)
         now_ms = self._context.timers.now_ms()
@@ -236,6 +268,7 @@
         if state is None:
             return False
         self._tried_leafs.add(state.leaf.leaf_id)
+        self._further_requested = self._further_granted = False
         self._possible_runs += 1
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
@@ -332,6 +365,9 @@
     def _retry_or_settle(self) -> None:
         if self.settled or self._pending:
             return
+        if self._may_retry() and self._awaits_permission():
+            self._request_permission()
+            return
         if (
             not self._may_retry()
             or not self._take_budget("failed")
@@ -365,7 +401,7 @@
 
     def _return_unused_budget(self) -> None:
         """Return the budget of extra attempts that were never sent."""
-        free = 0 if self._first_is_extra else 1
+        free = 0 if self._earlier_attempts > 0 else 1
         unused = self._budget_taken - max(0, self._possible_arrivals - free)
         if unused > 0:
             self._context.budget(self.service).refund(unused)
--- a/src/snipemount/standins/local_delegation.py
+++ b/src/snipemount/standins/local_delegation.py
@@ -35,6 +35,8 @@
         Receives what is delegated to it.
     unreachable : bool
         Whether its messages and those to it are lost, without an end of connections.
+    mute : bool
+        Whether its messages are lost, while those to it arrive.
     crashed : bool
         Whether connections to it are refused.
     """
@@ -42,9 +44,15 @@
     vm: ModelledVm
     handler: DelegationHandler
     unreachable: bool = False
+    mute: bool = False
     crashed: bool = False
     links: list[LocalDelegationLink] = attrs.field(factory=list)
 
+    @property
+    def can_send(self) -> bool:
+        """Whether its messages get to the network."""
+        return not (self.unreachable or self.mute or self.crashed)
+
 
 class LocalDelegationLink(DelegationLink):
     """One end of a connection; passes each message through the codec."""
@@ -60,7 +68,7 @@
     def send(self, message: DelegationMessage) -> None:
         """Send a message over the links of both VMs."""
         other, peer, own = self.other, self.peer, self._own
-        if other is None or peer is None or own.unreachable or own.crashed:
+        if other is None or peer is None or not own.can_send:
             return
         frame = encode_delegation(message)
         self._network.messages.append(message)
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -77,6 +77,36 @@
     And 600 ms pass on all VMs
     Then the answer is complete
 
+  # BUDGET: a run that was given up and its repeat together asked three leafs of a shard
+  # whose route allows two.
+  Scenario Outline: A query that is run twice, as its coordinator <fault>, stays within its attempts
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And 500 ms pass on all VMs
+    And all leafs of 10 shards hang
+    And <after_ms> ms after the next "scan" query of a small VM its coordinator <fault>
+    And 900 ms pass on all VMs
+    Then the query was given to 2 coordinators
+    And no shard of the query was asked more often than its route allows
+
+    Examples:
+      | fault      | after_ms |
+      | is mute    | 0        |
+      | crashes    | 60       |
+      | is cut off | 60       |
+      | is mute    | 60       |
+
+  # Waiting would only delay the caller's own retry.
+  Scenario: A lost query that has used up its attempts fails at once
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And 500 ms pass on all VMs
+    And all leafs of 10 shards hang
+    And 60 ms after the next "find" query of a small VM its coordinator crashes
+    And 10 ms pass on all VMs
+    Then the query has failed
+    And no shard of the query was asked more often than its route allows
+
   Scenario: A coordinator that stops completes its queries and takes no more
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
     When a caller of a small VM sends a "find" request
--- a/tests/steps/coordinator_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from fleet_world import LARGE, LEAF_ZONES, SHARDS, SMALL, FleetWorld
+from fleet_world import LARGE, LEAF_ZONES, MAX_ATTEMPTS, SHARDS, SMALL, FleetWorld
 from hypothesis import given as for_any
 from hypothesis import strategies as st
 from serving_world import make_leaf
@@ -15,7 +15,7 @@
 )
 from snipemount.decisions.limit_shares import LimitShares
 from snipemount.model.delegation import ConfigurationOffered, DelegatedQuery
-from snipemount.model.forwarding import Merged
+from snipemount.model.forwarding import Merged, RequestFailed
 from snipemount.ports.relay import DaemonAddress
 
 ZONES = (*LEAF_ZONES, "zone-d")
@@ -193,6 +193,44 @@
             nearest.queries.max_running_legs = -1
 
 
+@when(
+    '{after_ms:g} ms after the next "{route}" query of a small VM '
+    "its coordinator {fault}"
+)
+def step_fault_in_query(context, after_ms, route, fault):
+    nearest = coordinators_of(context)[0]
+    step_ask(context, route)
+    context.fleet.run_for(after_ms)
+    match fault:
+        case "crashes":
+            crash(context, nearest)
+        case "is cut off":
+            nearest.peer.unreachable = True
+        case "is mute":
+            nearest.peer.mute = True
+
+
+@then("the query has failed")
+def step_failed(context):
+    assert isinstance(context.sample.outcome, RequestFailed), context.sample.outcome
+
+
+@then("the query was given to {count:d} coordinators")
+def step_given_to(context, count):
+    delegations = context.sample.run.delegations()
+    assert len(delegations.split(",")) == count, delegations
+
+
+@then("no shard of the query was asked more often than its route allows")
+def step_attempts(context):
+    leafs_by_shard = {shard: set() for shard in SHARDS}
+    for _, leaf, request in context.fleet.leafs.arrivals:
+        if request == context.sample.request_id:
+            leafs_by_shard[leaf.partition("-")[0]].add(leaf)
+    most = max(len(leafs) for leafs in leafs_by_shard.values())
+    assert most <= MAX_ATTEMPTS, leafs_by_shard
+
+
 @then("the nearest coordinator was not asked")
 def step_not_asked(context):
     assert context.nearest is not None
@@ -290,10 +328,12 @@
     assert context.sample.run.delegations().count("answered") == 1
 
 
-@when("all leafs of 1 shard hang")
-def step_hang(context):
-    for zone in LEAF_ZONES:
-        context.fleet.leafs.scripts[f"{SHARDS[0]}-{zone}"].unresponsive = True
+@when("all leafs of {count:d} shard hang")
+@when("all leafs of {count:d} shards hang")
+def step_hang(context, count):
+    for shard in SHARDS[:count]:
+        for zone in LEAF_ZONES:
+            context.fleet.leafs.scripts[f"{shard}-{zone}"].unresponsive = True
 
 
 @then("the line of the small VM names the coordinator")
--- a/tests/steps/delegation_codec_steps.py
+++ b/tests/steps/delegation_codec_steps.py
@@ -16,6 +16,8 @@
     CoordinatorStopping,
     DeclineReason,
     DelegatedQuery,
+    FurtherAttemptsGranted,
+    FurtherAttemptsRequested,
     QueryAccepted,
     QueryCancelled,
     QueryDeclined,
@@ -34,6 +36,7 @@
 
 IDS = st.integers(0, 2**31)
 TIMES_MS = st.floats(0.0, 1e6)
+NUMBERS = st.lists(st.integers(0, 200), max_size=5).map(tuple)
 # Header bytes of a caller need not be valid UTF-8.
 HEADER_TEXTS = st.binary(max_size=20).map(
     lambda b: b.decode("utf-8", "surrogateescape")
@@ -74,9 +77,11 @@
         IDS,
         TIMES_MS,
         TIMES_MS,
-        st.booleans(),
+        NUMBERS,
     ),
     st.builds(QueryAccepted, IDS),
+    st.builds(FurtherAttemptsRequested, IDS, NUMBERS),
+    st.builds(FurtherAttemptsGranted, IDS, NUMBERS),
     st.builds(QueryDeclined, IDS, st.sampled_from(DeclineReason)),
     st.builds(QueryRunning, IDS),
     st.builds(QueryEnded, IDS, OUTCOMES, TIMES_MS),
--- a/tests/steps/fleet_world.py
+++ b/tests/steps/fleet_world.py
@@ -50,13 +50,23 @@
 RESPONSE_CORE_MS = 0.5
 HEADERS_ONLY_BYTES = 200
 OBJECTIVE_MS = 120.0
+MAX_ATTEMPTS = 2  # leafs of a shard that one query may be sent to
 PAUSE_MS = 120.0
 PAUSE_PERIOD_MS = 3000.0
 LARGE = (2.15, 100.0)  # cores, link in Mbit/s
 SMALL = (0.52, 11.0)
 ROUTES = (
     make_route(
-        "find", ToAllShards(SHARDS, 50, 0.95), latency_objective_ms=OBJECTIVE_MS
+        "find",
+        ToAllShards(SHARDS, 50, 0.95),
+        latency_objective_ms=OBJECTIVE_MS,
+        max_attempts=MAX_ATTEMPTS,
+    ),
+    make_route(
+        "scan",
+        ToAllShards(SHARDS, 5, 0.75),
+        latency_objective_ms=OBJECTIVE_MS,
+        max_attempts=MAX_ATTEMPTS,
     ),
     make_route("look", ToService("ledger"), latency_objective_ms=600.0),
 )
@@ -260,4 +270,12 @@
     return HEADERS_ONLY_BYTES
 
 
-__all__ = ["LARGE", "SHARDS", "SMALL", "CallerSample", "FleetDaemon", "FleetWorld"]
+__all__ = [
+    "LARGE",
+    "MAX_ATTEMPTS",
+    "SHARDS",
+    "SMALL",
+    "CallerSample",
+    "FleetDaemon",
+    "FleetWorld",
+]
