Ask another zone's coordinator when one knows too few leafs

Cause: leafs were replaced, both coordinators of the zone had lost the store (store_lost at 2.5 s) and knew too few that live; a query asked one, then the other, then ran on its small VM. Change: once a coordinator has refused for lack of leafs, those of other zones come first. Why it works: the daemons of a zone learn of leafs from the same daemon, other zones from another one. Result: 'The coordinators of a zone know no leafs: those of other zones are asked' failed without the change (zone-a-0:no_leaf,zone-a-1:no_leaf) and passes.

--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -316,20 +316,29 @@
         """Names of the coordinators with a link, the preferred one first."""
         return [daemon.name for daemon in self._links]
 
-    def choose(self, excluded: set[str]) -> CoordinatorLink | None:
+    def choose(
+        self, excluded: set[str], avoided_zones: set[str]
+    ) -> CoordinatorLink | None:
         """Return the link for a query: of the nearest usable, the least busy one.
 
         Parameters
         ----------
         excluded : set of str
             Coordinators that were asked before.
+        avoided_zones : set of str
+            Zones whose coordinators come last, as one of them knows too few leafs:
+            the daemons of a zone learn of leafs from the same one.
         """
         usable = [
             link
             for link in self._links.values()
             if link.usable and link.daemon.name not in excluded
         ]
-        return min(usable, key=lambda link: link.pending_queries, default=None)
+        return min(
+            usable,
+            key=lambda link: (link.daemon.zone in avoided_zones, link.pending_queries),
+            default=None,
+        )
 
     def take_query_id(self) -> int:
         """Return a number that no other query of this daemon has."""
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -96,6 +96,7 @@
         self._run_here = run_here
         self._done: Callable[[RequestOutcome], None] | None = done
         self._asked: dict[str, str] = {}
+        self._zones_without_leafs: set[str] = set()
         self._link: CoordinatorLink | None = None
         self._query_id = 0
         self._sent_ms = 0.0
@@ -166,6 +167,8 @@
         elapsed_ms = self._context.timers.now_ms() - self._sent_ms
         self._links.hop.add(max(0.0, elapsed_ms - ran_ms))
         if isinstance(outcome, RequestRefused):
+            if self._link is not None:
+                self._zones_without_leafs.add(self._link.daemon.zone)
             self._end_delegation(outcome.reason.value)
             self._ask_next()
             return
@@ -202,7 +205,7 @@
             return
         link = None
         if len(self._asked) < MAX_DELEGATIONS:
-            link = self._links.choose(set(self._asked))
+            link = self._links.choose(set(self._asked), self._zones_without_leafs)
         if link is None:
             self._start_own_run()
         else:
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -126,6 +126,18 @@
     And 300 ms pass on all VMs
     Then the answer is complete
 
+  # The store turned both coordinators of a zone away while leafs were replaced: each query
+  # asked both and was then run on a small VM, or refused.
+  Scenario: The coordinators of a zone know no leafs: those of other zones are asked
+    Given 4 zones with 2 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And the large VMs of zone-a know no leafs
+    And a small VM of zone-a gets a "find" request
+    And 300 ms pass on all VMs
+    Then the answer is complete
+    And it reached the caller within 120 ms
+    And a coordinator of another zone than zone-a has answered
+
   # One VM whose own link fails must not take others out.
   Scenario: A coordinator that wrongly takes zones for cut off moves no callers
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
--- a/tests/steps/coordinator_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -246,6 +246,27 @@
     assert daemon.gateway.is_isolated
 
 
+@when("the large VMs of {zone} know no leafs")
+def step_no_leafs(context, zone):
+    for daemon in context.fleet.daemons:
+        if daemon.zone == zone and daemon.vm.cores == LARGE[0]:
+            daemon.context.directory.set_zones_out(frozenset(LEAF_ZONES))
+
+
+@when('a small VM of {zone} gets a "{route}" request')
+def step_ask_in_zone(context, zone, route):
+    context.small = next(
+        d for d in context.fleet.daemons if d.zone == zone and d.vm.cores == SMALL[0]
+    )
+    step_ask(context, route)
+
+
+@then("a coordinator of another zone than {zone} has answered")
+def step_answered_elsewhere(context, zone):
+    last = context.sample.run.delegations().split(",")[-1]
+    assert ":answered:" in last and not last.startswith(zone), last
+
+
 @then("all daemons of {zone} are isolated, and no others")
 def step_zone_isolated(context, zone):
     isolated = {d.name for d in context.fleet.daemons if d.gateway.is_isolated}
