Replace a lost coordinator that exceeded all others by the next largest VMs

Cause: the candidates were the coordinators alone. Change: daemons that bear at least twice as much as the one that delegates follow them in the order.

--- a/src/snipemount/decisions/coordinators.py
+++ b/src/snipemount/decisions/coordinators.py
@@ -59,7 +59,9 @@
 
     First come those of the own zone if it holds many shards, then those of other such
     zones, so that few parts cross zones, then the rest. Within each group the order
-    is by rendezvous hashing, weighted by capacity.
+    is by rendezvous hashing, weighted by capacity. Daemons that are no coordinators but
+    bear at least twice as much as this one come last: where one VM exceeds all others,
+    they replace it when it is lost.
 
     Parameters
     ----------
@@ -72,16 +74,22 @@
     """
     known = list(daemons)
     names = coordinator_names(known)
-    candidates = [
-        daemon
-        for daemon in known
-        if daemon.accepts_queries and daemon.name in names and daemon.name != own.name
-    ]
-
-    def distance(daemon: DaemonAddress) -> int:
-        return 2 * (daemon.zone not in zones) + (daemon.zone != own.zone)
 
-    return sorted(candidates, key=lambda d: (distance(d), -_score(own.name, d)))
+    def is_candidate(daemon: DaemonAddress) -> bool:
+        if not daemon.accepts_queries or daemon.name == own.name:
+            return False
+        is_larger = own.legs_per_s <= MIN_CAPACITY_SHARE * daemon.legs_per_s
+        return daemon.name in names or is_larger
+
+    def order(daemon: DaemonAddress) -> tuple[bool, bool, bool, float]:
+        return (
+            daemon.name not in names,
+            daemon.zone not in zones,
+            daemon.zone != own.zone,
+            -_score(own.name, daemon),
+        )
+
+    return sorted(filter(is_candidate, known), key=order)
 
 
 def _score(subject: str, daemon: DaemonAddress) -> float:
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -11,6 +11,10 @@
     Then a daemon prefers coordinators of its own zone, then those of zones with all shards
     And without its own zone's leafs it prefers zones with all shards
 
+  # Otherwise the loss of that one VM would bring incident 0001 back.
+  Scenario: Where one VM exceeds all others the next largest replace it
+    Then a daemon with 1 prefers the VM with 40, then those with 10, and not another with 1
+
   Scenario: A VM that is added or lost moves few queries
     Then without one of 12 coordinators only its own queries move
 
--- a/tests/steps/coordinator_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -45,6 +45,17 @@
     assert ranked_coordinators([old, new], address("own"), frozenset()) == [new]
 
 
+@then(
+    "a daemon with 1 prefers the VM with 40, then those with 10, and not another with 1"
+)
+def step_outlier(context):
+    sizes = (1.0, 10.0, 40.0, 10.0, 1.0)
+    daemons = [address(f"vm-{n}", legs_per_s=size) for n, size in enumerate(sizes)]
+    ranked = ranked_coordinators(daemons, daemons[0], frozenset())
+    assert [daemon.legs_per_s for daemon in ranked] == [40.0, 10.0, 10.0]
+    assert ranked_coordinators(daemons, daemons[1], frozenset()) == [daemons[2]]
+
+
 def ranked_zones(own_zone, zones):
     """Return the zones of the coordinators in the order a daemon prefers them."""
     daemons = [address(f"vm-{zone}", zone) for zone in ZONES]
