Send newer configurations across zones to coordinators only

Change: over a link to a coordinator in another zone the newer configuration is fetched only after 500 ms; coordinators fetch after 80 ms from the daemons linked to them, and so do daemons from coordinators of their zone. Result: 'A newer configuration that reaches a zone late crosses zones only to its coordinators' failed without the change (nine small VMs were sent it from zone-a) and passes.

--- a/src/snipemount/serving/configuration_exchange.py
+++ b/src/snipemount/serving/configuration_exchange.py
@@ -25,6 +25,9 @@
 
 # In this time a newer configuration usually comes from the store or its relay.
 CATCH_UP_MS = 80.0
+# A large configuration takes longer. It crosses zones to coordinators, which are few; the
+# daemons that delegate get it from them.
+CATCH_UP_ACROSS_ZONES_MS = 500.0
 REQUEST_TIMEOUT_MS = 1000.0  # before another daemon is asked for the same
 
 
@@ -54,17 +57,25 @@
         self._version = version
         self._in_force = in_force
         self._apply = apply
-        self._links: set[DelegationLink] = set()
+        self._links: dict[DelegationLink, float] = {}
         self._requested_ms: float | None = None
 
-    def add_link(self, link: DelegationLink) -> None:
-        """Announce the version in force over a new link, now and when it changes."""
-        self._links.add(link)
+    def add_link(self, link: DelegationLink, crosses_zones: bool) -> None:
+        """Announce the version in force over a new link, now and when it changes.
+
+        Parameters
+        ----------
+        link : DelegationLink
+            The link.
+        crosses_zones : bool
+            Whether this daemon delegates over it to a coordinator in another zone.
+        """
+        self._links[link] = CATCH_UP_ACROSS_ZONES_MS if crosses_zones else CATCH_UP_MS
         link.send(ConfigurationAnnounced(self._version()))
 
     def remove_link(self, link: DelegationLink) -> None:
         """Forget a link that has ended."""
-        self._links.discard(link)
+        self._links.pop(link, None)
 
     def announce(self) -> None:
         """Announce a version that has come in force."""
@@ -77,7 +88,8 @@
         match message:
             case ConfigurationAnnounced(version) if version > self._version():
                 self._context.timers.call_later(
-                    CATCH_UP_MS, lambda: self._request_if_behind(link, version)
+                    self._links.get(link, CATCH_UP_MS),
+                    lambda: self._request_if_behind(link, version),
                 )
             case ConfigurationRequested():
                 stored = self._in_force()
--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -195,7 +195,8 @@
     def _on_open(self) -> None:
         self._open = True
         assert self._link is not None
-        self._exchange.add_link(self._link)
+        crosses_zones = self.daemon.zone != self._own_zone
+        self._exchange.add_link(self._link, crosses_zones)
         self._context.logger.info("coordinator_linked", coordinator=self.daemon.name)
 
     def _drop(self) -> None:
--- a/src/snipemount/serving/delegated_queries.py
+++ b/src/snipemount/serving/delegated_queries.py
@@ -83,7 +83,7 @@
     def on_link_opened(self, link: DelegationLink) -> None:
         """Record the connection of a daemon that delegates."""
         self._links[link] = {}
-        self._exchange.add_link(link)
+        self._exchange.add_link(link, crosses_zones=False)
         if self._context.reachability.cut_off_zones():
             link.send(self._zones_cut_off())
         if self.stopping:
--- a/src/snipemount/standins/local_delegation.py
+++ b/src/snipemount/standins/local_delegation.py
@@ -29,6 +29,8 @@
 
     Parameters
     ----------
+    name : str
+        Its name.
     vm : ModelledVm
         Its VM, whose link and processor messages use.
     handler : DelegationHandler
@@ -43,6 +45,7 @@
         Whether connections to it are refused.
     """
 
+    name: str
     vm: ModelledVm
     handler: DelegationHandler
     unreachable: bool = False
@@ -79,7 +82,7 @@
         if other is None or peer is None or not own.can_send:
             return
         frame = encode_delegation(message)
-        self._network.messages.append(message)
+        self._network.deliveries.append((own.name, peer.name, message))
         timers = self._network.timers
 
         def deliver() -> None:
@@ -123,11 +126,17 @@
     def __init__(self, timers: TimerService) -> None:
         self.timers = timers
         self.peers: dict[str, LocalPeer] = {}
-        self.messages: list[DelegationMessage] = []
+        # Sender, receiver and message of each message that was sent.
+        self.deliveries: list[tuple[str, str, DelegationMessage]] = []
+
+    @property
+    def messages(self) -> list[DelegationMessage]:
+        """All messages that were sent."""
+        return [message for _, _, message in self.deliveries]
 
     def add(self, name: str, vm: ModelledVm, handler: DelegationHandler) -> LocalPeer:
         """Add a daemon."""
-        peer = LocalPeer(vm, handler)
+        peer = LocalPeer(name, vm, handler)
         self.peers[name] = peer
         return peer
 
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -223,6 +223,14 @@
     Then the answer is complete
     And the query was delegated once
 
+  # A configuration with many routes crossed zones once for each small VM, whose link it
+  # filled while the daemon that it follows was sending the same.
+  Scenario: A newer configuration that reaches a zone late crosses zones only to its coordinators
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When the VMs of zone-a have a newer configuration for 400 ms
+    Then each daemon has the newer configuration
+    And only coordinators were sent the configuration from other zones
+
   Scenario: A small VM hands a newer configuration on to all coordinators it is linked to
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
     When one small VM has a newer configuration for 1000 ms
--- a/tests/steps/coordinator_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -388,6 +388,32 @@
     context.fleet.run_for(span_ms)
 
 
+@when("the VMs of {zone} have a newer configuration for {span_ms:g} ms")
+def step_zone_newer(context, zone, span_ms):
+    for daemon in context.fleet.daemons:
+        if daemon.zone == zone:
+            daemon.put_in_force(2)
+    context.fleet.run_for(span_ms)
+
+
+@then("only coordinators were sent the configuration from other zones")
+def step_few_crossings(context):
+    crossings = [
+        (sender, receiver)
+        for sender, receiver, message in context.fleet.delegation.deliveries
+        if isinstance(message, ConfigurationOffered)
+        and zone_of(context, sender) != zone_of(context, receiver)
+    ]
+    small = {d.name for d in context.fleet.daemons if d.vm.cores == SMALL[0]}
+    assert crossings and not [c for c in crossings if c[1] in small], crossings
+
+
+def zone_of(context, name):
+    """Return the zone of a daemon."""
+    (daemon,) = [d for d in context.fleet.daemons if d.name == name]
+    return daemon.zone
+
+
 @then("each daemon has the newer configuration")
 def step_all_newer(context):
     versions = {daemon.gateway.version for daemon in context.fleet.daemons}
