--- a/src/snipemount/serving/configuration_exchange.py
+++ b/src/snipemount/serving/configuration_exchange.py
@@ -25,8 +25,8 @@
 
 # In this time a newer configuration usually comes from the store or its relay.
 CATCH_UP_MS = 80.0
-# A large configuration takes longer. It crosses zones to coordinators, which are few; the
-# daemons that delegate get it from them.
+# A large configuration takes longer. It crosses zones to coordinators, which are few;
+# the daemons that delegate get it from them.
 CATCH_UP_ACROSS_ZONES_MS = 500.0
 REQUEST_TIMEOUT_MS = 1000.0  # before another daemon is asked for the same
 
