--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -1,15 +1,14 @@
-"""In-memory fakes of the backend, peer and platform ports, in virtual time."""
+"""In-memory fakes of the backend and peer ports, in virtual time."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING
 
 import attrs
 
 from ..decisions.owner_messages import NotConnected
 from ..ports.backend import BackendPort
 from ..ports.peer import PeerPort
-from ..ports.platform import Confirmed, Expired, Failed, Kind, PlatformPort, Watch
 from ..timers import Timer, TimerService
 
 if TYPE_CHECKING:
@@ -22,14 +21,8 @@
     from ..model.fleet import BackendServer
     from ..node.node import Node
     from ..ports.peer import PeerMessage
-    from ..ports.platform import ListResult, ReadResult, WatchEvent, WriteResult
     from ..standins.backend_model import BackendModel
-    from ..standins.object_store import LogEntry, ObjectStore
 
-T = TypeVar("T")
-PLATFORM_LATENCY_MS = 2.0
-PLATFORM_TIMEOUT_MS = 1000.0
-WATCH_CONFIRMATION_PERIOD_MS = 3000.0
 SAME_ZONE_DELAY_MS = 0.25
 
 
@@ -318,168 +311,10 @@
         return self._mesh.deliver(self._own, member, message)
 
 
-@attrs.define
-class PlatformFaults:
-    """Injected faults of the platform, shared by all daemons.
-
-    Parameters
-    ----------
-    down : bool
-        Whether calls fail after a timeout without taking effect.
-    lose_replies : int
-        Number of writes still to come whose replies are lost although they take
-        effect.
-    added_latency_ms : float
-        Latency added to each call in each direction.
-    """
-
-    down: bool = False
-    lose_replies: int = 0
-    added_latency_ms: float = 0.0
-
-
-class FakePlatform(PlatformPort):
-    """One daemon's port to the object store.
-
-    Parameters
-    ----------
-    store : ObjectStore
-        Object store, shared by all daemons.
-    timers : TimerService
-        Timers of the daemon's process.
-    faults : PlatformFaults
-        Injected faults, shared by all daemons.
-
-    Attributes
-    ----------
-    cut_off : bool
-        Whether the platform is down for this daemon alone.
-    """
-
-    def __init__(
-        self, store: ObjectStore, timers: TimerService, faults: PlatformFaults
-    ) -> None:
-        self._store = store
-        self._timers = timers
-        self._faults = faults
-        self.cut_off = False
-
-    @property
-    def _down(self) -> bool:
-        return self._faults.down or self.cut_off
-
-    def read(self, kind: Kind, name: str, done: Callable[[ReadResult], None]) -> None:
-        """Read one object."""
-        self._call(lambda: self._store.read(kind, name), done)
-
-    def list_all(
-        self,
-        kind: Kind,
-        done: Callable[[ListResult], None],
-        may_be_stale: bool = False,
-    ) -> None:
-        """Read all objects of a kind."""
-        self._call(lambda: self._store.list_all(kind), done)
-
-    def write_status(
-        self,
-        kind: Kind,
-        name: str,
-        status: dict[str, Any],
-        version: int,
-        done: Callable[[WriteResult], None],
-    ) -> None:
-        """Replace the status of an object."""
-        self._call(lambda: self._store.write_status(kind, name, status, version), done)
-
-    def write(
-        self,
-        kind: Kind,
-        name: str,
-        spec: dict[str, Any],
-        version: int | None,
-        done: Callable[[WriteResult], None],
-    ) -> None:
-        """Create or replace an object; its reply is lost while that fault is set."""
-
-        def write_and_reply() -> WriteResult:
-            result: WriteResult = self._store.write(kind, name, spec, version)
-            if self._faults.lose_replies > 0:
-                self._faults.lose_replies -= 1
-                return Failed("the reply to the write was lost")
-            return result
-
-        self._call(write_and_reply, done)
-
-    def watch(
-        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
-    ) -> Watch:
-        """Report each change after `version` until cancelled.
-
-        `on_event` gets `Expired` if the store no longer has these changes, and
-        `Failed` if the platform is down at the start or at a later change; either
-        ends the watch. While the platform is up, `on_event` also gets the version
-        of the store after each change and at a fixed period.
-        """
-
-        def forward(entry: LogEntry) -> None:
-            if self._down:
-                confirmations.cancel()
-                self._store.unsubscribe(subscription)
-                self._timers.call_soon(
-                    lambda: on_event(Failed("the watch ended: the platform is down"))
-                )
-                return
-            self._timers.call_later(PLATFORM_LATENCY_MS, lambda: on_event(entry))
-            confirmed = Confirmed(self._store.version)
-            self._timers.call_later(PLATFORM_LATENCY_MS, lambda: on_event(confirmed))
-
-        def confirm() -> None:
-            if not self._down:
-                on_event(Confirmed(self._store.version))
-
-        missed = self._store.changes_since(kind, version)
-        subscription = self._store.subscribe(kind, forward)
-        if missed is None or self._down:
-            self._store.unsubscribe(subscription)
-            event = Failed("the platform is down") if self._down else Expired()
-            self._timers.call_later(PLATFORM_LATENCY_MS, lambda: on_event(event))
-            return Watch(lambda: None)
-        confirmations = self._timers.call_every(WATCH_CONFIRMATION_PERIOD_MS, confirm)
-        for entry in missed:
-            forward(entry)
-
-        def stop() -> None:
-            confirmations.cancel()
-            self._store.unsubscribe(subscription)
-
-        return Watch(stop)
-
-    def _call(
-        self, operation: Callable[[], T], done: Callable[[T | Failed], None]
-    ) -> None:
-        one_way_ms = PLATFORM_LATENCY_MS / 2 + self._faults.added_latency_ms
-
-        def arrive() -> None:
-            if self._down:
-                wait_ms = PLATFORM_TIMEOUT_MS
-                self._timers.call_later(
-                    wait_ms,
-                    lambda: done(Failed("no response from the platform: timeout")),
-                )
-                return
-            result = operation()
-            self._timers.call_later(one_way_ms, lambda: done(result))
-
-        self._timers.call_later(one_way_ms, arrive)
-
-
 __all__ = [
     "FakeBackend",
     "FakeConnection",
     "FakeMesh",
     "FakePeers",
-    "FakePlatform",
-    "PlatformFaults",
     "ProcessTimers",
 ]
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -27,13 +27,8 @@
 )
 from ..standins.object_store import ObjectStore
 from ..timers import VirtualTimers
-from .fakes import (
-    FakeBackend,
-    FakeMesh,
-    FakePlatform,
-    PlatformFaults,
-    ProcessTimers,
-)
+from .fake_platform import FakePlatform, PlatformFaults
+from .fakes import FakeBackend, FakeMesh, ProcessTimers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given as given_any
 from hypothesis import strategies as st
 
-from snipemount.experiments.fakes import FakePlatform, PlatformFaults
+from snipemount.experiments.fake_platform import FakePlatform, PlatformFaults
 from snipemount.node.catalogue import record_converter
 from snipemount.node.conditional_writer import (
     Accepted,
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -11,7 +11,7 @@
 
 from snipemount.decisions.limit_shares import LimitShares
 from snipemount.errors import DecodeError
-from snipemount.experiments.fakes import FakePlatform, PlatformFaults
+from snipemount.experiments.fake_platform import FakePlatform, PlatformFaults
 from snipemount.ports.platform import Kind
 from snipemount.ports.relay import DaemonAddress
 from snipemount.serving.store_feed import StoreFeed
--- a/tests/steps/submit_steps.py
+++ b/tests/steps/submit_steps.py
@@ -11,7 +11,7 @@
 
 from snipemount.decisions.claims import ClaimRecord, Granted
 from snipemount.errors import ResultCode
-from snipemount.experiments.fakes import FakePlatform, PlatformFaults
+from snipemount.experiments.fake_platform import FakePlatform, PlatformFaults
 from snipemount.node.claimer import Claimer
 from snipemount.standins.object_store import ObjectStore
 from snipemount.timers import VirtualTimers
