--- a/src/snipemount/soak/deployment.py
+++ b/src/snipemount/soak/deployment.py
@@ -20,6 +20,7 @@
 from ..standins.platform_leaf import (
     LeafStandin,
     SoakRoute,
+    VmSize,
     configuration_spec,
     node_file,
 )
@@ -42,6 +43,8 @@
     SoakRoute("look", (LEDGER,), True),
     SoakRoute("log", (LEDGER,), False),
 )
+LARGE_VM = VmSize(cores=2.0, link_mbps=100.0)
+SMALL_VM = VmSize(cores=0.5, link_mbps=10.0)  # delegates queries to large ones
 FRONT_PORT = 8104
 READINESS_PORT = 8108
 
@@ -58,6 +61,8 @@
         Availability zone.
     ip : str
         Loopback address that represents its VM.
+    size : VmSize
+        Size of its VM as the settings state it.
     folder : Path
         Directory of its settings file and its log file.
     """
@@ -65,6 +70,7 @@
     name: str
     zone: str
     ip: str
+    size: VmSize
     folder: Path
     process: subprocess.Popen[bytes] | None = None
 
@@ -104,7 +110,7 @@
     folder : Path
         Directory for settings files and logs.
     daemons : int
-        Number of daemons.
+        Number of daemons, of which half, at least one, are on large VMs.
     """
 
     def __init__(self, timers: LoopTimers, folder: Path, daemons: int) -> None:
@@ -125,6 +131,7 @@
                 f"daemon-{n}",
                 ZONES[n % len(ZONES)],
                 f"127.{second_octet}.0.{n + 1}",
+                LARGE_VM if n < max(1, daemons // 2) else SMALL_VM,
                 folder,
             )
             for n in range(daemons)
@@ -144,7 +151,9 @@
         seeds = [f"{daemon.ip}:8106" for daemon in self.daemons[:2]]
         for daemon in self.daemons:
             store = f"{LOOPBACK}:{proxy.port}"
-            text = node_file(daemon.name, daemon.zone, daemon.ip, store, seeds)
+            text = node_file(
+                daemon.name, daemon.zone, daemon.ip, store, seeds, daemon.size
+            )
             path = self._folder / f"{daemon.name}.conf"
             path.write_text(text, encoding="utf-8")
             daemon.start()
--- a/src/snipemount/standins/platform_leaf.py
+++ b/src/snipemount/standins/platform_leaf.py
@@ -175,7 +175,25 @@
     return spec | {"backend": route.shards[0]}
 
 
-def node_file(name: str, zone: str, ip: str, store: str, seeds: list[str]) -> str:
+@attrs.frozen
+class VmSize:
+    """Size of a VM as its settings file states it.
+
+    Parameters
+    ----------
+    cores : float
+        Processor time per second, in cores.
+    link_mbps : float
+        Bandwidth of its link in Mbit/s.
+    """
+
+    cores: float
+    link_mbps: float
+
+
+def node_file(
+    name: str, zone: str, ip: str, store: str, seeds: list[str], size: VmSize
+) -> str:
     """Return the text of a daemon's settings file as the platform writes it."""
     fields = {
         "node_name": name,
@@ -186,6 +204,8 @@
         "port_range": "7380,7395",
         "seeds": ",".join(seeds),
         "bootstrap": "false",
+        "limits.cpu_share": str(size.cores),
+        "limits.link_mbps": str(size.link_mbps),
         "platform.address": store,
         "bounds.drain_ms": "3000",
         "bounds.grace_s": "6",
@@ -199,6 +219,7 @@
 __all__ = [
     "LeafStandin",
     "SoakRoute",
+    "VmSize",
     "configuration_spec",
     "node_file",
     "records_for",
