Keep a permission whose attempt did not run

Callers would have seen: a query over all shards that waits for its deadline, 1.5 s, when first attempts are lost and the leafs asked next refuse for lack of room. Found by reading; no run showed it. Cause: a permission was used up by the attempt, also when a leaf refused it unrun; the daemon that delegated had counted it and granted no other, and nothing told the coordinator. Change: permissions are counted, and an attempt needs one only if as many as granted may have run. Why it works: the count of the daemon that delegated bounds runs, and an attempt that did not run is none.

--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -95,7 +95,7 @@
         self._possible_runs = earlier_attempts
         self._request_further = request_further
         self._further_requested = False
-        self._further_granted = False
+        self._further_granted = 0
         self._possible_arrivals = 0
         self._budget_taken = 0
         self.settled = False
@@ -164,7 +164,8 @@
 
     def grant_further_attempt(self) -> None:
         """Make the further attempt that was asked for, if it is still of use."""
-        self._further_granted = True
+        self._further_requested = False
+        self._further_granted += 1
         if self.settled:
             return
         if self._pending:
@@ -173,11 +174,12 @@
             self._retry_or_settle()
 
     def _awaits_permission(self) -> bool:
-        return (
-            self._request_further is not None
-            and not self._further_granted
-            and self._possible_runs > self._earlier_attempts
-        )
+        """Return whether the next attempt needs a further permission.
+
+        One that was used for an attempt that has not run is still valid.
+        """
+        own_runs = self._possible_runs - self._earlier_attempts
+        return self._request_further is not None and own_runs > self._further_granted
 
     def _request_permission(self) -> None:
         if not self._further_requested and self._request_further is not None:
@@ -244,7 +246,6 @@
         if state is None:
             return False
         self._tried_leafs.add(state.leaf.leaf_id)
-        self._further_requested = self._further_granted = False
         self._possible_runs += 1
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -100,6 +100,18 @@
       | is cut off | 60       |
       | is mute    | 60       |
 
+  # The permission was spent on an attempt that did not run, and the next one was never
+  # granted: the query waited for its deadline.
+  Scenario: A further attempt that a leaf refuses is made at the next leaf
+    Given 4 zones with 1 large and 3 small VMs, before 90 shards
+    When 100 queries of ten callers a zone arrive, 20 ms apart
+    And 500 ms pass on all VMs
+    And the leafs that are asked first of 10 shards lose their connections, the second refuse
+    And that small VM gets a "find" request
+    And 300 ms pass on all VMs
+    Then the answer is complete
+    And it reached the caller within 120 ms
+
   # Waiting would only delay the caller's own retry.
   Scenario: A lost query that has used up its attempts fails at once
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
--- a/tests/steps/delegated_query_steps.py
+++ b/tests/steps/delegated_query_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import given, then, when
 from fleet_world import LARGE, LEAF_ZONES, MAX_ATTEMPTS, SHARDS, SMALL, FleetWorld
 from serving_world import make_leaf
@@ -356,6 +358,26 @@
             context.fleet.leafs.scripts[f"{shard}-{zone}"].unresponsive = True
 
 
+@when(
+    "the leafs that are asked first of {count:d} shards lose their connections, "
+    "the second refuse"
+)
+def step_lose_then_refuse(context, count):
+    leafs = context.fleet.leafs
+    send = leafs.send
+    asked = Counter()
+
+    def scripted_send(leaf, request, time_left_ms, done):
+        if leaf.service in SHARDS[:count]:
+            script = leafs.scripts[leaf.leaf_id]
+            script.closes_connection = asked[leaf.service] == 0
+            script.refuses = asked[leaf.service] == 1
+            asked[leaf.service] += 1
+        return send(leaf, request, time_left_ms, done)
+
+    leafs.send = scripted_send
+
+
 @then("the line of the small VM names the coordinator")
 def step_names_coordinator(context):
     (line,) = small_lines(context)
