--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -15,6 +15,7 @@
 from ..ports.peer import ReportBadMove, ReportEvidence
 from ..ports.platform import Failed, Found, Kind, Written
 from .catalogue import record_converter
+from .running_move import RunningMove
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,47 +39,6 @@
 )
 
 
-@attrs.define(eq=False)
-class RunningMove:
-    """State of a move at this daemon.
-
-    Parameters
-    ----------
-    record : MoveRecord
-        Latest known record of the move.
-    plan : MovePlan
-        Computes the share of the new version.
-    analysis : CanaryAnalysis
-        Evidence on the new version.
-    end_from_ms : float
-        Time before which this daemon does not try to end the move; 0 until it
-        first tries.
-    ending : bool
-        Whether calls to the platform that end the move are pending.
-    bad_reported : bool
-        Whether this daemon has reported the new version as bad.
-    """
-
-    record: MoveRecord
-    plan: MovePlan
-    analysis: CanaryAnalysis
-    end_from_ms: float = 0.0
-    ending: bool = False
-    bad_reported: bool = False
-
-    @property
-    def evidence(self) -> MoveEvidence:
-        """Summary of the current evidence."""
-        analysis = self.analysis
-        return MoveEvidence(
-            analysis.seen,
-            analysis.samples,
-            analysis.clean,
-            analysis.bad,
-            analysis.evidence_negligible,
-        )
-
-
 class Mover:
     """Splits traffic between versions and ends moves.
 
