--- a/tests/serving/coordinators.feature
+++ b/tests/serving/coordinators.feature
@@ -81,7 +81,7 @@
     And 600 ms pass on all VMs
     Then the answer is complete
 
-  # BUDGET: a run that was given up and its repeat together asked three leafs of a shard
+  # A run that was given up and its repeat together asked three leafs of a shard
   # whose route allows two.
   Scenario Outline: A query that is run twice, as its coordinator <fault>, stays within its attempts
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
@@ -188,7 +188,7 @@
     And it reached the caller within 120 ms
     And a log line of the small VM names "busy"
 
-  # GONE: leafs must not work on for a caller that has left.
+  # Leafs must not work on for a caller that has left.
   Scenario: A caller leaves: the leafs of its query are cancelled
     Given 4 zones with 1 large and 3 small VMs, before 90 shards
     When a caller of a small VM sends a "find" request
