Log the version and source of each listing; measure the age of zone orders

Change: kind_listed per applied listing (version, version known before, source); gauge zone_orders_unconfirmed_ms. No decision reads either.

--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -31,6 +31,7 @@
 from .platform.leaf_client import LeafClient
 from .platform.node_file import node_file_path, read_node_file
 from .platform.store_client import StoreClient
+from .ports.platform import Kind
 from .ports.relay import DaemonAddress
 from .serving.context import ServingContext
 from .serving.coordinator_links import CoordinatorLinks
@@ -233,6 +234,11 @@
             "Zones that are considered cut off.",
             lambda: len(context.reachability.cut_off_zones()),
         )
+        gauge(
+            "zone_orders_unconfirmed_ms",
+            "Time since the orders on zones were last confirmed as current.",
+            lambda: self._store_feed.unconfirmed_ms(Kind.ZONE_ORDER),
+        )
         gauge(
             "ready", "Whether the balancer may send callers.", lambda: float(self.ready)
         )
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 from ..model.relay import (
@@ -17,6 +18,8 @@
     from collections.abc import Callable
     from random import Random
 
+    from structlog.typing import FilteringBoundLogger
+
     from ..model.relay import RelayMessage
     from ..ports.platform import (
         Kind,
@@ -72,6 +75,8 @@
         Source of the backoff's jitter, which spreads the retries of many daemons.
     on_update : Callable
         Called with each update that came from the store itself, to relay it.
+    logger : FilteringBoundLogger
+        Receives the versions of the listings applied.
     poll_ms : float or None
         Period at which the kind is listed instead of watched; such a listing may be
         seconds old. None to watch.
@@ -82,6 +87,8 @@
         Version of the store up to which the objects are known; 0 before a listing.
     store_reachable : bool
         Whether the store has responded since its last failure.
+    confirmed_ms : float
+        Monotonic time of the last confirmation; -inf before the first.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
         timers: TimerService,
         random: Random,
         on_update: Callable[[RelayMessage], None],
+        logger: FilteringBoundLogger,
         poll_ms: float | None = None,
     ) -> None:
         self._platform = platform
@@ -100,10 +108,12 @@
         self._timers = timers
         self._random = random
         self._on_update = on_update
+        self._logger = logger
         self._poll_ms = poll_ms
         self._objects: dict[str, StoredObject] = {}
         self.version = 0
         self.store_reachable = False
+        self.confirmed_ms = -math.inf
         self._backoff_ms = FIRST_BACKOFF_MS
         self._active_watch: Watch | None = None
         self._timer: Timer | None = None
@@ -151,6 +161,7 @@
         """Apply an update from the store or from the relaying daemon, and notify."""
         match message:
             case RelayListing(_, version, objects):
+                self._log_listing(version, len(objects))
                 self._objects = {stored.name: stored for stored in objects}
                 self.version = version
                 self._subscriber.listed(objects)
@@ -163,11 +174,22 @@
             case RelayConfirmation(_, version):
                 self.version = max(self.version, version)
                 self.store_reachable = True
+                self.confirmed_ms = self._timers.now_ms()
                 self._subscriber.confirmed()
             case RelayStoreLost(reason):
                 self.store_reachable = False
                 self._subscriber.store_unreachable(reason)
 
+    def _log_listing(self, version: int, count: int) -> None:
+        self._logger.info(
+            "kind_listed",
+            kind=self.kind.value,
+            version=version,
+            version_known=self.version,
+            objects=count,
+            source="store" if self._follows_store else "relay",
+        )
+
     def _update(self, message: RelayMessage) -> None:
         self.apply(message)
         self._on_update(message)
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -132,9 +132,10 @@
                 timers,
                 random,
                 publish,
+                logger,
             ),
             Kind.LEAF: KindFeed(
-                platform, Kind.LEAF, self._leafs, timers, random, publish
+                platform, Kind.LEAF, self._leafs, timers, random, publish, logger
             ),
             Kind.ZONE_ORDER: KindFeed(
                 platform,
@@ -143,6 +144,7 @@
                 timers,
                 random,
                 publish,
+                logger,
                 ORDERS_POLL_PERIOD_MS,
             ),
             Kind.VERSION_ORDER: KindFeed(
@@ -152,6 +154,7 @@
                 timers,
                 random,
                 publish,
+                logger,
                 ORDERS_POLL_PERIOD_MS,
             ),
         }
@@ -182,6 +185,10 @@
         timers.call_every(EVIDENCE_PERIOD_MS, self._send_evidence)
         timers.call_every(KEEPALIVE_PERIOD_MS, lambda: self._publish(RelayHeartbeat()))
 
+    def unconfirmed_ms(self, kind: Kind) -> float:
+        """Return the time since the known state of a kind was last confirmed."""
+        return self._context.timers.now_ms() - self._kinds[kind].confirmed_ms
+
     def snapshot(self) -> list[RelayMessage]:
         """Return the state for a new follower.
 
