Read the limits that leafs state; log and count them

Change: each response of the leaf itself yields a LeafNotice; log leaf_limit when a limit begins, changes or ends; gauge leafs_limited and counter limited_leaf_attempts. A limit that is negative, infinite or not a number is ignored and leaves the known one; a response of another leaf (421) or to another request states nothing. No choice reads the limit yet.

--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -60,6 +60,12 @@
             ("cause", "granted"),
             registry=registry,
         )
+        self._limited_attempts = Counter(
+            "snipemount_limited_leaf_attempts",
+            "Attempts at leafs that state a limit on requests, extra ones or not.",
+            ("extra",),
+            registry=registry,
+        )
         self._store_calls = Counter(
             "snipemount_store_calls",
             "Calls to the platform's store, by kind of call and result.",
@@ -122,6 +128,10 @@
         """Count an extra attempt that was wanted, granted by the budget or not."""
         self._extra_attempts.labels(cause, "yes" if granted else "no").inc()
 
+    def limited_attempt(self, extra: bool) -> None:
+        """Count an attempt at a leaf that states a limit."""
+        self._limited_attempts.labels("yes" if extra else "no").inc()
+
     def store_call(self, call: str, result: str) -> None:
         """Count a call to the platform's store by result."""
         self._store_calls.labels(call, result).inc()
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -53,6 +53,9 @@
         Until then the leaf counts as cold.
     cold_attempts : ColdAttempts
         Attempts during the cold start, for the limit on them.
+    limit_per_s : float or None
+        Requests per second that the leaf last stated to take from all daemons
+        together; None when it states no limit.
     """
 
     def __init__(self, leaf: Leaf, now_ms: float) -> None:
@@ -73,6 +76,7 @@
         self.consecutive_losses = 0
         self.cold_until_ms = now_ms + leaf.cold_ms
         self.cold_attempts = ColdAttempts()
+        self.limit_per_s: float | None = None
 
     @property
     def in_flight(self) -> int:
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -234,6 +234,11 @@
             lambda: gateway.version,
         )
         gauge("leafs_known", "Leafs in the directory.", lambda: len(context.directory))
+        gauge(
+            "leafs_limited",
+            "Leafs that state a limit on requests.",
+            lambda: context.directory.limited_count,
+        )
         gauge("daemons_known", "Registered daemons.", lambda: context.daemon_count)
         gauge(
             "zones_cut_off",
--- /dev/null
+++ b/src/snipemount/model/leaf_notice.py
@@ -0,0 +1,56 @@
+"""What a leaf states about itself in its responses."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class NoLimit:
+    """The leaf states no limit."""
+
+
+@attrs.frozen
+class RequestLimit:
+    """The leaf takes so many requests from all daemons together.
+
+    Parameters
+    ----------
+    per_s : float
+        Requests per second, 0 or more.
+    """
+
+    per_s: float
+
+
+@attrs.frozen
+class UnreadableLimit:
+    """The leaf states a limit that is not a number of requests."""
+
+
+StatedLimit = NoLimit | RequestLimit | UnreadableLimit
+
+
+@attrs.frozen
+class LeafNotice:
+    """What a leaf states about itself in one response.
+
+    Parameters
+    ----------
+    limit : StatedLimit
+        Requests that it takes from all daemons together.
+    """
+
+    limit: StatedLimit = NoLimit()
+
+
+SILENT_NOTICE = LeafNotice()
+
+__all__ = [
+    "SILENT_NOTICE",
+    "LeafNotice",
+    "NoLimit",
+    "RequestLimit",
+    "StatedLimit",
+    "UnreadableLimit",
+]
--- a/src/snipemount/platform/headers.py
+++ b/src/snipemount/platform/headers.py
@@ -18,6 +18,7 @@
 RECEIPTS = "X-Part-Stamps"
 MISSING_SHARDS = "X-Missing-Parts"
 RETRY_AFTER = "Retry-After"
+LEAF_LIMIT = "Server-Limit"
 
 # Headers that apply to one connection or are written anew for each message.
 HOP_BY_HOP = frozenset(
@@ -63,6 +64,7 @@
     "DEADLINE_MS",
     "EXPECTED_LEAF",
     "HOP_BY_HOP",
+    "LEAF_LIMIT",
     "LOAD",
     "MISSING_SHARDS",
     "NOT_RUN",
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -21,12 +21,14 @@
 )
 from ..ports.leaf import AttemptReport
 from . import headers as names
+from .leaf_notices import parse_notice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model.forwarding import AttemptOutcome, ForwardRequest
     from ..model.leaf import Leaf
+    from ..model.leaf_notice import LeafNotice
     from .pending_bytes import PendingBytes
 
 READ_BUFFER_BYTES = 2**22
@@ -256,7 +258,18 @@
         else:
             self.close()
         if done is not None:
-            done(AttemptReport(outcome, load, bytes_read))
+            done(AttemptReport(outcome, load, bytes_read, notice=self._notice()))
+
+    def _notice(self) -> LeafNotice | None:
+        """Return what the leaf states; None if the response is not known to be its."""
+        message = self._message
+        if (
+            message is None
+            or message.code == MISDIRECTED_STATUS
+            or self._is_to_other_request(message)
+        ):
+            return None
+        return parse_notice(message.headers)
 
     def _release_bytes(self) -> None:
         """Stop counting what was read, as the response has ended."""
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -12,6 +12,7 @@
 
     from ..model.forwarding import AttemptOutcome, ForwardRequest, LoadReport
     from ..model.leaf import Leaf
+    from ..model.leaf_notice import LeafNotice
 
 
 @attrs.frozen
@@ -28,12 +29,15 @@
         Bytes read for this attempt, headers included.
     connect_ms : float
         Time spent on opening a connection; 0 when one was open.
+    notice : LeafNotice or None
+        What the leaf states about itself; None without a response of this leaf.
     """
 
     outcome: AttemptOutcome
     load: LoadReport | None = None
     bytes_read: int = 0
     connect_ms: float = 0.0
+    notice: LeafNotice | None = None
 
 
 class AttemptHandle(ABC):
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -24,6 +24,10 @@
     def extra_attempt(self, cause: str, granted: bool) -> None:
         """Count a request for an extra attempt, and whether the budget granted it."""
 
+    @abstractmethod
+    def limited_attempt(self, extra: bool) -> None:
+        """Count an attempt at a leaf that states a limit, an extra one or not."""
+
     @abstractmethod
     def store_call(self, call: str, result: str) -> None:
         """Count a call to the platform's store by its result."""
@@ -49,6 +53,9 @@
     def extra_attempt(self, cause: str, granted: bool) -> None:
         """Do nothing."""
 
+    def limited_attempt(self, extra: bool) -> None:
+        """Do nothing."""
+
     def store_call(self, call: str, result: str) -> None:
         """Do nothing."""
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -10,6 +10,7 @@
 from ..decisions.coordinators import coordinator_names
 from ..decisions.extra_attempts import ExtraAttemptBudget
 from ..decisions.limit_shares import ASSUMED_DAEMONS, LimitShares
+from ..model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -24,6 +25,7 @@
     from ..decisions.zone_reachability import ZoneReachability
     from ..model.configuration import Route, ToAllShards
     from ..model.leaf import Leaf
+    from ..model.leaf_notice import LeafNotice
     from ..ports.leaf import LeafPort
     from ..ports.relay import DaemonAddress
     from ..ports.serving_metrics import ServingMetrics
@@ -179,6 +181,25 @@
         if self.reachability.note_reported(zone, self.timers.now_ms()):
             self.logger.warning("zone_cut_off", zone=zone, reported_by=reported_by)
 
+    def note_leaf_notice(self, state: LeafState, notice: LeafNotice) -> None:
+        """Record what a leaf states about itself; logs a limit that has changed."""
+        match notice.limit:
+            case NoLimit():
+                limit_per_s = None
+            case RequestLimit(per_s):
+                limit_per_s = per_s
+            case UnreadableLimit():
+                return
+        if limit_per_s == state.limit_per_s:
+            return
+        self.logger.info(
+            "leaf_limit",
+            leaf=state.leaf.leaf_id,
+            service=state.leaf.service,
+            per_s="none" if limit_per_s is None else limit_per_s,
+        )
+        state.limit_per_s = limit_per_s
+
     def probe_zones(self) -> None:
         """Probe one leaf of each cut-off zone whose probe is due."""
         for zone in self.reachability.due_probes(self.timers.now_ms()):
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -250,6 +250,8 @@
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
         self._pending.append(attempt)
+        if state.limit_per_s is not None:
+            self._context.metrics.limited_attempt(len(self._tried_leafs) > 1)
         attempt.handle = self._context.leafs.send(
             state.leaf,
             self._request,
@@ -268,6 +270,8 @@
             self._context.note_response(attempt.state.leaf)
         if report.load is not None:
             attempt.state.load_reported(report.load, now_ms)
+        if report.notice is not None:
+            self._context.note_leaf_notice(attempt.state, report.notice)
         match report.outcome:
             case LeafAnswer() as answer:
                 self._on_answer(attempt, answer, now_ms)
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -14,6 +14,7 @@
     NoValidResponse,
     NoValidResponseReason,
 )
+from ..model.leaf_notice import SILENT_NOTICE
 from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
 
     from ..model.forwarding import ForwardRequest, LoadReport
     from ..model.leaf import Leaf
+    from ..model.leaf_notice import LeafNotice
     from ..timers import Timer, TimerService
 
 
@@ -54,6 +56,8 @@
         Body of the responses.
     load : LoadReport or None
         Load that each response reports; None to report none.
+    notice : LeafNotice
+        What the leaf states about itself in each response, refusals included.
     """
 
     work_ms: float = 10.0
@@ -67,6 +71,7 @@
     address_reused: bool = False
     body: bytes = b""
     load: LoadReport | None = None
+    notice: LeafNotice = SILENT_NOTICE
 
 
 class ScriptedAttempt(AttemptHandle):
@@ -123,14 +128,7 @@
             return self._report_later(1.0, leaf, done, report)
         self.arrivals.append((now_ms, leaf.leaf_id, request.request_id))
         if script.refuses or script.address_reused:
-            reason = (
-                NotRunReason.OTHER_LEAF
-                if script.address_reused
-                else NotRunReason.REFUSED
-            )
-            return self._report_later(
-                1.0, leaf, done, AttemptReport(NotRun(reason), script.load)
-            )
+            return self._report_later(1.0, leaf, done, self._refusal(script))
         self.runs[request.request_id] += 1
         self.in_progress[leaf.leaf_id] += 1
         if script.unresponsive:
@@ -175,6 +173,13 @@
         self.cancelled += 1
         self.in_progress[leaf.leaf_id] -= 1
 
+    @staticmethod
+    def _refusal(script: Script) -> AttemptReport:
+        if script.address_reused:
+            return AttemptReport(NotRun(NotRunReason.OTHER_LEAF), script.load)
+        outcome = NotRun(NotRunReason.REFUSED)
+        return AttemptReport(outcome, script.load, notice=script.notice)
+
     @staticmethod
     def _report(leaf: Leaf, script: Script) -> AttemptReport:
         if script.closes_connection:
@@ -184,7 +189,10 @@
         receipt = f"ran.{leaf.leaf_id}"
         headers = (("Receipt", receipt),)
         answer = LeafAnswer(script.status, headers, script.body, receipt)
-        return AttemptReport(answer, script.load, len(script.body), script.connect_ms)
+        size_bytes = len(script.body)
+        return AttemptReport(
+            answer, script.load, size_bytes, script.connect_ms, script.notice
+        )
 
 
 __all__ = ["Script", "ScriptedLeafs"]
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -99,3 +99,32 @@
 
   Scenario: No truncated body and no response to another request is ever accepted
     Then for any truncated or altered bytes no cut body or other response is accepted
+
+  Scenario Outline: A limit that a leaf states is read from each response of its own
+    Given a connection to a leaf with a pending request
+    When the leaf responds with status <status> and the limit <limit>
+    Then the limit read is <read>
+
+    Examples:
+      | status | limit  | read       |
+      | 200    | 12.5   | 12.5       |
+      | 200    | 0      | 0          |
+      | 500    | 3      | 3          |
+      | 503    | 3      | 3          |
+      | 200    | 1e300  | 1e300      |
+      | 200    | -1     | unreadable |
+      | 200    | nan    | unreadable |
+      | 200    | inf    | unreadable |
+      | 200    | 1e999  | unreadable |
+      | 200    | twelve | unreadable |
+      | 200    | absent | none       |
+
+  Scenario: The limit of another leaf at the same address is not read
+    Given a connection to a leaf with a pending request
+    When the leaf responds with status 421 and the limit 3
+    Then no limit is read
+
+  Scenario: The limit in a response to another request is not read
+    Given a connection to a leaf with a pending request
+    When the leaf responds to another request with the limit 3 and closes
+    Then no limit is read
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -15,6 +15,7 @@
     NotRun,
     NoValidResponse,
 )
+from snipemount.model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
 from snipemount.platform.leaf_connection import LeafConnection, LeafConnectionState
 from snipemount.platform.pending_bytes import PendingBytes
 
@@ -101,6 +102,42 @@
     context.connection.data_received(refusal)
 
 
+def make_stating(status, fields, request_id="abc"):
+    """Return a response with header fields in which a leaf states something."""
+    lines = [f"HTTP/1.1 {status} Any", f"X-Request-Id: {request_id}"]
+    lines += ["X-Server-Stamp: r.1", *fields]
+    if status == 503:
+        lines.append("X-Not-Executed: 1")
+    lines.append("Content-Length: 0")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+@when("the leaf responds with status {status:d} and the limit {limit}")
+def step_states_limit(context, status, limit):
+    fields = [] if limit == "absent" else [f"Server-Limit: {limit}"]
+    context.connection.data_received(make_stating(status, fields))
+
+
+@when("the leaf responds to another request with the limit {limit} and closes")
+def step_other_states_limit(context, limit):
+    fields = [f"Server-Limit: {limit}"]
+    context.connection.data_received(make_stating(200, fields, "other"))
+    context.connection.connection_lost(None)
+
+
+@then("the limit read is {limit}")
+def step_limit_read(context, limit):
+    (report,) = context.reports
+    expected = {"none": NoLimit(), "unreadable": UnreadableLimit()}.get(limit)
+    assert report.notice.limit == (expected or RequestLimit(float(limit))), report
+
+
+@then("no limit is read")
+def step_no_limit_read(context):
+    (report,) = context.reports
+    assert report.notice is None, report
+
+
 @when("the connection reaches EOF")
 def step_eof(context):
     context.connection.connection_lost(None)
