--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -117,12 +117,14 @@
         slack: float = 50.0,
         zone: str = "zone-a",
         timers: VirtualTimers | None = None,
+        leafs: ScriptedLeafs | None = None,
+        own: str = "own",
     ) -> None:
         self.metrics = PrometheusMetrics()
         self.lines: list[dict] = []
         logger = structlog.wrap_logger(None, processors=[self._capture])
         self.timers = timers or VirtualTimers()
-        self.leafs = ScriptedLeafs(self.timers)
+        self.leafs = leafs or ScriptedLeafs(self.timers)
         self.directory = LeafDirectory()
         self.serving_context = ServingContext(
             self.timers,
@@ -134,9 +136,10 @@
             logger,
             self.metrics,
             ColdLimit(1.5, 5.0),
-            "own",
+            own,
+            is_shard=lambda service: service in SHARDS,
         )
-        self.serving_context.limit_shares = LimitShares("own", frozenset(["own"]))
+        self.serving_context.limit_shares = LimitShares(own, frozenset([own]))
         self.timers.call_every(100.0, self.serving_context.probe_zones)
         self.gateway = Gateway(self.serving_context, RequestLog(logger, self.metrics))
         self.samples: list[ServingSample] = []
