Keep the limits that leafs state for all daemons together

What callers saw: nothing. Cause: no code read Server-Limit. Class: a limit over all daemons without an owner. Change: each daemon keeps to its share of a leaf's limit in a token bucket; the share is that of the burst (one second and 3 requests), by the mechanism of the other limits. Daemons without a share ask in turn, rarely. Hedges avoid limited leafs; attempts that did not arrive are refunded. Queries beyond the limits are refused at once (leaf_limits) with a true Retry-After and use up nothing. Readiness while a zone is cut off looks at reach, not limits. The extra attempts' bucket is the same class now (TokenBucket); time before a change of the share now counts at the old rate. Tests: leaf_limits.feature; the scenario of the reproduction failed before. With hedges to limited leafs, or readiness by limits (mutations), one scenario each fails.

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -197,6 +197,14 @@
             raise TypeError(f"{type(outcome).__name__} is not an outcome of a query")
 
 
+def _refusal_reason(text: Any) -> RefusalReason:
+    """Return the reason of this text; one that only later builds know is `NO_LEAF`."""
+    try:
+        return RefusalReason(text)
+    except ValueError:
+        return RefusalReason.NO_LEAF
+
+
 def _decode_outcome(fields: list[Any]) -> RequestOutcome:
     tag, *rest = fields
     if tag == MERGED:
@@ -207,7 +215,7 @@
         return Merged(texts, _integer(missing), body)
     if tag == REFUSED:
         reason, retry_after_ms = rest
-        return RequestRefused(RefusalReason(reason), float(retry_after_ms))
+        return RequestRefused(_refusal_reason(reason), float(retry_after_ms))
     if tag == FAILED:
         (failure,) = rest
         return RequestFailed(FailureReason(failure))
--- a/src/snipemount/decisions/extra_attempts.py
+++ b/src/snipemount/decisions/extra_attempts.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from .token_bucket import TokenBucket
+
 # Transit delays differ, so more attempts may arrive in a window than left in one.
 TRANSIT_MARGIN = 0.95
 # Share of a daemon's slack that is the bucket's capacity; time adds the rest.
@@ -60,20 +62,18 @@
     ) -> None:
         self._limit = limit
         self._slack = slack
-        self._tokens = 0.0
-        self._refilled_ms = started_ms
+        self._bucket = TokenBucket(self._capacity, self._added_per_ms, started_ms)
 
-    def set_limit(self, limit: ExtraAttemptLimit, slack: float) -> None:
+    def set_limit(self, limit: ExtraAttemptLimit, slack: float, now_ms: float) -> None:
         """Replace the limit and the share of the slack."""
         self._limit = limit
         self._slack = slack
-        self._tokens = min(self._tokens, self._capacity)
+        self._bucket.resize(self._capacity, self._added_per_ms, now_ms)
 
     def add_request(self, now_ms: float) -> None:
         """Add the tokens for one request to the service."""
-        self._refill(now_ms)
-        added = TRANSIT_MARGIN * self._limit.ratio
-        self._tokens = min(self._capacity, self._tokens + added)
+        self._bucket.available(now_ms)
+        self._bucket.add(TRANSIT_MARGIN * self._limit.ratio)
 
     def try_spend(self, now_ms: float, share: float = 1.0) -> bool:
         """Spend the token of one extra attempt.
@@ -90,27 +90,25 @@
         bool
             False when too few tokens are left; none is spent then.
         """
-        self._refill(now_ms)
         reserve = (1.0 - share) * max(0.0, self._capacity - 1.0)
-        if self._tokens < 1.0 + reserve:
+        if self._bucket.available(now_ms) < 1.0 + reserve:
             return False
-        self._tokens -= 1.0
+        self._bucket.spend(1.0)
         return True
 
     def refund(self, attempts: int) -> None:
         """Refund the tokens of extra attempts that were never sent."""
-        self._tokens = min(self._capacity, self._tokens + attempts)
+        self._bucket.add(attempts)
 
     @property
     def _capacity(self) -> float:
         """Capacity in tokens; below one no extra attempt is possible."""
         return min(self._slack, max(1.0, CAPACITY_SHARE * self._slack))
 
-    def _refill(self, now_ms: float) -> None:
-        per_ms = (self._slack - self._capacity) / self._limit.window_ms
-        added = per_ms * max(0.0, now_ms - self._refilled_ms)
-        self._refilled_ms = now_ms
-        self._tokens = min(self._capacity, self._tokens + added)
+    @property
+    def _added_per_ms(self) -> float:
+        """Tokens that time adds per millisecond."""
+        return (self._slack - self._capacity) / self._limit.window_ms
 
 
 __all__ = ["ExtraAttemptBudget", "ExtraAttemptLimit"]
--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -53,7 +53,7 @@
     @property
     def limited_count(self) -> int:
         """Number of leafs that state a limit on requests."""
-        return sum(s.limit_per_s is not None for s in self._leafs.values())
+        return sum(s.limit is not None for s in self._leafs.values())
 
     def service_states(self, service: str) -> list[LeafState]:
         """Return the leafs of a service that may get new requests."""
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ..model.forwarding import LoadReport
     from ..model.leaf import Leaf
+    from .leaf_limit import LeafLimit
 
 # Weights are those of a new sample in a moving average; *_DECAY_MS are time constants
 # of exponential decay.
@@ -53,9 +54,8 @@
         Until then the leaf counts as cold.
     cold_attempts : ColdAttempts
         Attempts during the cold start, for the limit on them.
-    limit_per_s : float or None
-        Requests per second that the leaf last stated to take from all daemons
-        together; None when it states no limit.
+    limit : LeafLimit or None
+        Limit that the leaf states for all daemons together; None when it states none.
     """
 
     def __init__(self, leaf: Leaf, now_ms: float) -> None:
@@ -76,7 +76,7 @@
         self.consecutive_losses = 0
         self.cold_until_ms = now_ms + leaf.cold_ms
         self.cold_attempts = ColdAttempts()
-        self.limit_per_s: float | None = None
+        self.limit: LeafLimit | None = None
 
     @property
     def in_flight(self) -> int:
@@ -93,9 +93,16 @@
         number = next(self._next_number)
         if self.is_cold(now_ms):
             self.cold_attempts.record(now_ms)
+        if self.limit is not None:
+            self.limit.spend(now_ms)
         self._pending[number] = now_ms
         return number
 
+    def not_arrived(self) -> None:
+        """Record that an attempt did not reach the leaf; it counts in no limit."""
+        if self.limit is not None:
+            self.limit.refund()
+
     def answered(self, number: int, expected_ms: float, now_ms: float) -> None:
         """Record an answer, and end a pause of the leaf.
 
--- a/src/snipemount/decisions/shares.py
+++ b/src/snipemount/decisions/shares.py
@@ -13,6 +13,9 @@
     from collections.abc import Iterable
 
 
+RANK_BYTES = 8
+
+
 def share_of(limit: float, subject: str, daemons: Iterable[str], own: str) -> float:
     """Return this daemon's share of a limit, in the unit of the limit.
 
@@ -35,8 +38,15 @@
     return 1.0 if own in ranked[: int(limit)] else 0.0
 
 
+def phase_of(subject: str, name: str) -> float:
+    """Return a daemon's place among all daemons for a subject, from 0 to 1."""
+    return int.from_bytes(_rank(subject, name)) / 2.0 ** (8 * RANK_BYTES)
+
+
 def _rank(subject: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
+    return hashlib.blake2b(
+        f"{subject}/{name}".encode(), digest_size=RANK_BYTES
+    ).digest()
 
 
-__all__ = ["share_of"]
+__all__ = ["phase_of", "share_of"]
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -133,6 +133,7 @@
 
     NO_CONFIGURATION = "no_configuration"
     NO_LEAF = "no_leaf"
+    LEAF_LIMITS = "leaf_limits"
     ALL_REFUSED = "all_refused"
     STOPPING = "stopping"
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,7 +11,8 @@
 from ..decisions.coordinators import coordinator_names
 from ..decisions.extra_attempts import ExtraAttemptBudget
 from ..decisions.limit_shares import ASSUMED_DAEMONS, LimitShares
-from ..model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
+from ..model.forwarding import RefusalReason, RequestRefused
+from .leaf_limits import LeafLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -31,6 +33,9 @@
     from ..ports.serving_metrics import ServingMetrics
     from ..timers import TimerService
 
+RETRY_AFTER_MS = 50.0
+MAX_RETRY_AFTER_MS = 60_000.0
+
 
 def _no_stated_load(service: str) -> float:
     return 0.0
@@ -90,6 +95,8 @@
         Budgets of extra attempts by service.
     started_ms : float
         Monotonic time of the start.
+    leaf_limits : LeafLimits
+        Limits that leafs state.
     running_legs : int
         Shards of the queries that run in this daemon.
     """
@@ -112,12 +119,14 @@
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraAttemptBudget] = attrs.field(factory=dict)
     started_ms: float = attrs.field(init=False)
+    leaf_limits: LeafLimits = attrs.field(init=False)
     _daemons: dict[str, DaemonAddress] = attrs.field(factory=dict, init=False)
     running_legs: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.started_ms = self.timers.now_ms()
         self.limit_shares = LimitShares(self.own_name)
+        self.leaf_limits = LeafLimits(self)
 
     @property
     def daemon_count(self) -> int:
@@ -131,11 +140,11 @@
             found = self.timings[route.name] = RouteTiming(route)
         return found
 
-    def candidates(self, service: str) -> list[LeafState]:
-        """Return the leafs of a service that may get a request now.
+    def reachable(self, service: str) -> list[LeafState]:
+        """Return the leafs of a service that could get requests but for their limits.
 
-        Leaves out those in zones that are cut off, those whose address another leaf has
-        now, and cold leafs that this daemon has sent its share of their limit.
+        Leaves out those in zones that are cut off, and those whose address another leaf
+        has now.
         """
         states = self.directory.service_states(service)
         states = self.directory.without_reused_addresses(states, self.timers.now_ms())
@@ -143,6 +152,15 @@
             states = [
                 s for s in states if not self.reachability.is_cut_off(s.leaf.zone)
             ]
+        return states
+
+    def candidates(self, service: str) -> list[LeafState]:
+        """Return the leafs of a service that may get a request now.
+
+        Leaves out the leafs that are not reachable, and those that this daemon has
+        sent its share of their limit: a limit that they state, or that on cold leafs.
+        """
+        states = self.leaf_limits.allowed(self.reachable(service))
         stated_per_s = self.cold_requests_per_s(service)
         if stated_per_s <= 0.0:
             return states
@@ -162,6 +180,31 @@
         served_shards = sum(bool(self.candidates(shard)) for shard in target.shards)
         return target.suffices(served_shards)
 
+    def can_reach(self, target: ToAllShards) -> bool:
+        """Return whether enough of a query's shards have a leaf, limits aside."""
+        reached_shards = sum(bool(self.reachable(shard)) for shard in target.shards)
+        return target.suffices(reached_shards)
+
+    def refuse(self, *shards: str, min_share: float = 1.0) -> RequestRefused:
+        """Return the refusal of a request for lack of leafs that may be asked now.
+
+        Parameters
+        ----------
+        *shards : str
+            Services of which each has to answer.
+        min_share : float
+            Share of them that suffices, 0 to 1.
+        """
+        waits_ms = sorted(
+            self.leaf_limits.ms_until_allowed(self.reachable(shard)) for shard in shards
+        )
+        needed = max(1, math.ceil(min_share * len(waits_ms)))
+        wait_ms = waits_ms[needed - 1]
+        if not 0.0 < wait_ms < math.inf:
+            return RequestRefused(RefusalReason.NO_LEAF, RETRY_AFTER_MS)
+        retry_after_ms = min(MAX_RETRY_AFTER_MS, max(RETRY_AFTER_MS, wait_ms))
+        return RequestRefused(RefusalReason.LEAF_LIMITS, retry_after_ms)
+
     def note_response(self, leaf: Leaf) -> None:
         """Record a response of a leaf; logs when its zone is reachable again."""
         if self.reachability.note_response(leaf.zone, self.timers.now_ms()):
@@ -182,23 +225,8 @@
             self.logger.warning("zone_cut_off", zone=zone, reported_by=reported_by)
 
     def note_leaf_notice(self, state: LeafState, notice: LeafNotice) -> None:
-        """Record what a leaf states about itself; logs a limit that has changed."""
-        match notice.limit:
-            case NoLimit():
-                limit_per_s = None
-            case RequestLimit(per_s):
-                limit_per_s = per_s
-            case UnreadableLimit():
-                return
-        if limit_per_s == state.limit_per_s:
-            return
-        self.logger.info(
-            "leaf_limit",
-            leaf=state.leaf.leaf_id,
-            service=state.leaf.service,
-            per_s="none" if limit_per_s is None else limit_per_s,
-        )
-        state.limit_per_s = limit_per_s
+        """Record what a leaf states about itself."""
+        self.leaf_limits.note(state, notice.limit)
 
     def probe_zones(self) -> None:
         """Probe one leaf of each cut-off zone whose probe is due."""
@@ -252,7 +280,9 @@
             budget.set_limit(
                 self.extra_attempt_limit,
                 self.own_share(slack, service, service),
+                self.timers.now_ms(),
             )
+        self.leaf_limits.recompute_shares()
 
     def budget(self, service: str) -> ExtraAttemptBudget:
         """Return the budget of extra attempts of a service, created on first use."""
@@ -266,4 +296,4 @@
         return found
 
 
-__all__ = ["ServingContext"]
+__all__ = ["RETRY_AFTER_MS", "ServingContext"]
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -97,6 +97,7 @@
         self._done: Callable[[RequestOutcome], None] | None = done
         self._asked: dict[str, str] = {}
         self._zones_without_leafs: set[str] = set()
+        self._refusals: list[RequestRefused] = []
         self._link: CoordinatorLink | None = None
         self._query_id = 0
         self._sent_ms = 0.0
@@ -167,6 +168,7 @@
         elapsed_ms = self._context.timers.now_ms() - self._sent_ms
         self._links.hop.add(max(0.0, elapsed_ms - ran_ms))
         if isinstance(outcome, RequestRefused):
+            self._refusals.append(outcome)
             if self._link is not None:
                 self._zones_without_leafs.add(self._link.daemon.zone)
             self._end_delegation(outcome.reason.value)
@@ -300,9 +302,15 @@
         done, self._done = self._done, None
         if done is None:
             return
-        if self._may_have_run and isinstance(outcome, RequestRefused):
-            outcome = RequestFailed(FailureReason.TOO_FEW_SHARDS)
+        if isinstance(outcome, RequestRefused):
+            outcome = self._final_refusal(outcome)
         done(outcome)
 
+    def _final_refusal(self, own: RequestRefused) -> RequestOutcome:
+        """Return the refusal whose daemon can serve the query the soonest."""
+        if self._may_have_run:
+            return RequestFailed(FailureReason.TOO_FEW_SHARDS)
+        return min((own, *self._refusals), key=lambda refusal: refusal.retry_after_ms)
+
 
 __all__ = ["DelegatedRequest", "DelegatedRun"]
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -15,10 +15,11 @@
     ToWeightedServices,
 )
 from ..model.forwarding import RefusalReason, RequestRefused, UnknownRoute
+from .context import RETRY_AFTER_MS
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
 from .request_log import EndedRequest
-from .run import RETRY_AFTER_MS, EndedRun, RunTerms
+from .run import EndedRun, RunTerms
 from .single_run import SingleRun
 
 if TYPE_CHECKING:
@@ -107,7 +108,7 @@
             return False
         targets = (route.target for route in self.configuration.routes)
         queries = (target for target in targets if isinstance(target, ToAllShards))
-        return any(not self._context.can_serve(target) for target in queries)
+        return any(not self._context.can_reach(target) for target in queries)
 
     def traits(self, service: str) -> ServiceTraits | None:
         """Return a service's settings; None if the configuration lacks it."""
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -15,8 +15,9 @@
     RequestRefused,
 )
 from ..model.query_stages import QueryStages
+from .context import RETRY_AFTER_MS
 from .request_log import Unanswered
-from .run import RETRY_AFTER_MS, RoutedRun
+from .run import RoutedRun
 from .service_call import ServiceCall
 
 if TYPE_CHECKING:
@@ -101,7 +102,9 @@
         """Ask every shard; refuse at once if too few have a leaf that can be asked."""
         context = self._context
         if not context.can_serve(self._target):
-            self._finish(RequestRefused(RefusalReason.NO_LEAF, RETRY_AFTER_MS))
+            target = self._target
+            refusal = context.refuse(*target.shards, min_share=target.min_share)
+            self._finish(refusal)
             return
         self._schedule_check(context.timing(self._route).hedge_delay_ms(self._route))
         self._schedule_deadline()
--- /dev/null
+++ b/src/snipemount/serving/leaf_limits.py
@@ -0,0 +1,96 @@
+"""Limits that leafs state, as this daemon keeps them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ..decisions.leaf_limit import LeafLimit, LeafLimitShare, burst_of
+from ..decisions.shares import phase_of
+from ..model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..decisions.leaf_state import LeafState
+    from ..model.leaf_notice import StatedLimit
+    from .context import ServingContext
+
+
+class LeafLimits:
+    """Gives each leaf that states a limit this daemon's share of it.
+
+    Parameters
+    ----------
+    context : ServingContext
+        Directory, shares and timers of the daemon.
+    """
+
+    def __init__(self, context: ServingContext) -> None:
+        self._context = context
+
+    def note(self, state: LeafState, stated: StatedLimit) -> None:
+        """Record the limit that a leaf states; logs one that has changed."""
+        match stated:
+            case UnreadableLimit():
+                return
+            case NoLimit():
+                if state.limit is None:
+                    return
+                state.limit = None
+                self._log(state, "none")
+            case RequestLimit(per_s):
+                if state.limit is not None and state.limit.per_s == per_s:
+                    return
+                self._set(state, per_s)
+                self._log(state, per_s)
+
+    def recompute_shares(self) -> None:
+        """Recompute this daemon's shares after a change of the daemons."""
+        for state in self._context.directory.all_states():
+            if state.limit is not None:
+                self._set(state, state.limit.per_s)
+
+    def allowed(self, states: list[LeafState]) -> list[LeafState]:
+        """Return the leafs to which a request may be sent within their limits."""
+        if all(state.limit is None for state in states):
+            return states
+        now_ms = self._context.timers.now_ms()
+        return [s for s in states if s.limit is None or s.limit.allows(now_ms)]
+
+    def ms_until_allowed(self, states: Iterable[LeafState]) -> float:
+        """Return the time until one of the leafs may get a request; inf for none."""
+        now_ms = self._context.timers.now_ms()
+        waits_ms = (
+            0.0 if state.limit is None else state.limit.ms_until_allowed(now_ms)
+            for state in states
+        )
+        return min(waits_ms, default=math.inf)
+
+    def _set(self, state: LeafState, per_s: float) -> None:
+        now_ms = self._context.timers.now_ms()
+        share = self._share(state, per_s)
+        if state.limit is None:
+            state.limit = LeafLimit(per_s, share, now_ms)
+        else:
+            state.limit.update(per_s, share, now_ms)
+
+    def _share(self, state: LeafState, per_s: float) -> LeafLimitShare:
+        context = self._context
+        leaf = state.leaf
+        return LeafLimitShare(
+            context.own_share(burst_of(per_s), leaf.leaf_id, leaf.service),
+            context.daemon_count,
+            phase_of(leaf.leaf_id, context.own_name),
+        )
+
+    def _log(self, state: LeafState, per_s: float | str) -> None:
+        self._context.logger.info(
+            "leaf_limit",
+            leaf=state.leaf.leaf_id,
+            service=state.leaf.service,
+            per_s=per_s,
+        )
+
+
+__all__ = ["LeafLimits"]
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -16,8 +16,6 @@
     from .context import ServingContext
     from .request_log import Unanswered
 
-RETRY_AFTER_MS = 50.0
-
 
 @attrs.frozen
 class RunTerms:
@@ -151,4 +149,4 @@
         """
 
 
-__all__ = ["RETRY_AFTER_MS", "EndedRun", "RoutedRun", "Run", "RunTerms"]
+__all__ = ["EndedRun", "RoutedRun", "Run", "RunTerms"]
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..decisions.leaf_state import LeafState
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest
     from ..ports.leaf import AttemptReport
@@ -23,6 +24,11 @@
     NotRun(NotRunReason.UNREACHABLE),
     NotRun(NotRunReason.NO_CONNECTION),
 )
+NOT_ARRIVED_REASONS = (
+    NotRunReason.UNREACHABLE,
+    NotRunReason.CONNECTION_REFUSED,
+    NotRunReason.NO_CONNECTION,
+)
 
 
 class ServiceCall:
@@ -152,15 +158,15 @@
             return False
         if (
             self._possible_runs >= self._route.max_attempts
-            or not self._has_other_leaf()
+            or not self._has_leaf_to_hedge()
         ):
             return False
         if self._awaits_permission():
             self._request_permission()
             return False
-        return (
-            self._take_budget("late", HEDGE_BUDGET_SHARE) and self._send_next_attempt()
-        )
+        return self._take_budget(
+            "late", HEDGE_BUDGET_SHARE
+        ) and self._send_next_attempt(hedges=True)
 
     def grant_further_attempt(self) -> None:
         """Make the further attempt that was asked for, if it is still of use."""
@@ -217,7 +223,17 @@
         self._cancel_pending()
 
     def _has_other_leaf(self) -> bool:
+        return self._has_untried(self._context.candidates(self.service))
+
+    def _has_leaf_to_hedge(self) -> bool:
+        return self._has_untried(self._leafs_to_hedge())
+
+    def _leafs_to_hedge(self) -> list[LeafState]:
+        """Return the leafs that may get a hedge: a limit is kept for first attempts."""
         states = self._context.candidates(self.service)
+        return [state for state in states if state.limit is None]
+
+    def _has_untried(self, states: list[LeafState]) -> bool:
         now_ms = self._context.timers.now_ms()
         return any(
             state.leaf.leaf_id not in self._tried_leafs and not state.is_paused(now_ms)
@@ -234,12 +250,14 @@
         self._context.metrics.extra_attempt(cause, granted)
         return granted
 
-    def _send_next_attempt(self) -> bool:
+    def _send_next_attempt(self, hedges: bool = False) -> bool:
         now_ms = self._context.timers.now_ms()
         left_ms = self._deadline_at_ms - now_ms
         if left_ms < 1.0 or self._possible_runs >= self._route.max_attempts:
             return False
-        states = self._context.candidates(self.service)
+        states = (
+            self._leafs_to_hedge() if hedges else self._context.candidates(self.service)
+        )
         state = self._context.choice.pick(
             states, self._tried_leafs, self._timing.typical_ms, now_ms
         )
@@ -250,7 +268,7 @@
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
         self._pending.append(attempt)
-        if state.limit_per_s is not None:
+        if state.limit is not None:
             self._context.metrics.limited_attempt(len(self._tried_leafs) > 1)
         attempt.handle = self._context.leafs.send(
             state.leaf,
@@ -316,16 +334,15 @@
         self, attempt: PendingAttempt, reason: NotRunReason, now_ms: float
     ) -> None:
         self._possible_runs -= 1
+        if reason in NOT_ARRIVED_REASONS:
+            self._note_not_arrived(attempt)
         match reason:
             case NotRunReason.UNREACHABLE:
-                self._possible_arrivals -= 1
                 attempt.state.lost(attempt.number, True, now_ms)
                 self._context.note_unresponsive(attempt.state.leaf)
             case NotRunReason.CONNECTION_REFUSED:
-                self._possible_arrivals -= 1
                 attempt.state.lost(attempt.number, True, now_ms)
             case NotRunReason.NO_CONNECTION:
-                self._possible_arrivals -= 1
                 attempt.state.refused(attempt.number, now_ms)
             case NotRunReason.REFUSED:
                 attempt.state.refused(attempt.number, now_ms)
@@ -343,6 +360,10 @@
                 )
         self._retry_or_settle()
 
+    def _note_not_arrived(self, attempt: PendingAttempt) -> None:
+        self._possible_arrivals -= 1
+        attempt.state.not_arrived()
+
     def _retry_or_settle(self) -> None:
         if self.settled or self._pending:
             return
@@ -376,7 +397,7 @@
             if waited_ms > self._unresponsive_after_ms:
                 self._context.note_unresponsive(attempt.state.leaf)
             if attempt.handle is not None and not attempt.handle.cancel():
-                self._possible_arrivals -= 1
+                self._note_not_arrived(attempt)
         self._pending.clear()
         self._return_unused_budget()
 
--- a/src/snipemount/serving/single_run.py
+++ b/src/snipemount/serving/single_run.py
@@ -11,8 +11,9 @@
     RequestFailed,
     RequestRefused,
 )
+from .context import RETRY_AFTER_MS
 from .request_log import Unanswered
-from .run import RETRY_AFTER_MS, RoutedRun
+from .run import RoutedRun
 from .service_call import ServiceCall
 
 if TYPE_CHECKING:
@@ -92,10 +93,9 @@
             return Forwarded(answer)
         if call.may_have_run:
             return RequestFailed(failure)
-        reason = (
-            RefusalReason.ALL_REFUSED if call.was_attempted else RefusalReason.NO_LEAF
-        )
-        return RequestRefused(reason, RETRY_AFTER_MS)
+        if call.was_attempted:
+            return RequestRefused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
+        return self._context.refuse(call.service)
 
 
 __all__ = ["SingleRun"]
--- a/tests/steps/leaf_limit_steps.py
+++ b/tests/steps/leaf_limit_steps.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 from random import Random
 
+import attrs
 from behave import given, then, when
 from serving_world import SHARDS, ServingWorld
 
@@ -31,6 +32,7 @@
         )
         world.start()
         context.daemons.append(world)
+    context.serving = context.daemons[0]
     context.random = Random(5)
     context.limited = {}
 
@@ -64,6 +66,55 @@
     set_limit(context, percent / 100.0, LeafNotice(RequestLimit(per_s)))
 
 
+@when("the leafs of {zone} take {per_s:g} requests/s from now on")
+def step_limit_zone(context, zone, per_s):
+    for leaf_id, script in context.leafs.scripts.items():
+        if leaf_id.endswith(zone):
+            script.notice = LeafNotice(RequestLimit(per_s))
+
+
+@when("all leafs start again without a limit")
+def step_restart(context):
+    step_no_limit(context)
+    now_ms = context.timers.now_ms()
+    for world in context.daemons:
+        for state in world.directory.all_states():
+            restarted = attrs.evolve(state.leaf, started_wall_ms=2.0)
+            world.directory.put(restarted, now_ms)
+
+
+@when("leafs of {zone} respond to nobody")
+def step_cut_off(context, zone):
+    context.timers.run_until(context.timers.now_ms() + 2000.0)
+    for world in context.daemons:
+        for number in range(20):
+            leaf = world.directory.find(f"shard{number}-{zone}").leaf
+            world.serving_context.note_unresponsive(leaf)
+        assert world.serving_context.reachability.is_cut_off(zone)
+
+
+@then("no leaf gets a further attempt at a request once it has stated its limit")
+def step_no_further(context):
+    stated = set()
+    asked = set()
+    for time_ms, leaf_id, request_id in context.leafs.arrivals:
+        shard = leaf_id.partition("-")[0]
+        is_further = (request_id, shard) in asked
+        asked.add((request_id, shard))
+        known = leaf_id in stated and time_ms > context.limits_known_ms
+        assert not (is_further and known), (time_ms, leaf_id, request_id)
+        stated.add(leaf_id)
+    assert len(stated) == 2 * len(SHARDS)
+
+
+@when("they are all known")
+def step_known(context):
+    for world in context.daemons:
+        states = world.directory.all_states()
+        assert all(s.limit for s in states if s.leaf.service in SHARDS)
+    context.limits_known_ms = context.timers.now_ms()
+
+
 @when("no leaf states a limit any more")
 def step_no_limit(context):
     for script in context.leafs.scripts.values():
