Read each entry of the store by itself: an odd one does no harm to the others

What operators of like systems saw: daemons that ended, or no longer followed the list of leafs, after another writer left one odd entry. Cause: a page or a watch's response was decoded as a whole. A value too deep (RecursionError) or a revision of 1e999 (OverflowError) ended the task, and nobody awaited it: the daemon followed the kind no more. 5,000 digits, an entry without meta, or bytes that are no UTF-8 failed every listing and watch. Slots of 300 digits would have raised in the choice of a leaf, a half surrogate in the relay's encoder, a name with a line break would have added a header. Class: one bad part fails the whole; a task that ends by an error that nobody awaits. Change: store_documents.py reads a document as a whole and, if that fails, part by part down to the entries. An odd entry with a readable name has an empty spec, which its decoder refuses; one without is counted. Values no reader can use (too deep, infinite, beyond 64 bits, no Unicode) make an entry odd; hosts have to be addresses. All decoders of foreign data name the same errors (MALFORMED_INPUT_ERRORS).

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from ..errors import DecodeError
+from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..model.delegation import (
     ConfigurationAnnounced,
     ConfigurationOffered,
@@ -100,7 +100,7 @@
     """
     try:
         return _decode_message(cbor2.loads(frame))
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as error:
+    except (cbor2.CBORDecodeError, *MALFORMED_INPUT_ERRORS) as error:
         raise DecodeError(f"delegation: {error!r}") from error
 
 
--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -72,6 +72,12 @@
             ("call", "result"),
             registry=registry,
         )
+        self._unreadable_entries = Counter(
+            "snipemount_unreadable_entries",
+            "Entries of the platform's store without a name that can be read.",
+            ("kind",),
+            registry=registry,
+        )
         self._stages = Histogram(
             "snipemount_query_stage_seconds",
             "Time from a query's arrival to the end of a stage; for `connect` the"
@@ -136,6 +142,11 @@
         """Count a call to the platform's store by result."""
         self._store_calls.labels(call, result).inc()
 
+    def unreadable_entries(self, kind: str, count: int) -> None:
+        """Count entries of the store without a name that can be read."""
+        if count:
+            self._unreadable_entries.labels(kind).inc(count)
+
     def delegation(self, result: str) -> None:
         """Count a query that was given to a coordinator."""
         self._delegations.labels(result).inc()
--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from ..errors import DecodeError
+from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
@@ -63,7 +63,7 @@
     """
     try:
         return _decode_message(cbor2.loads(frame))
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as error:
+    except (cbor2.CBORDecodeError, *MALFORMED_INPUT_ERRORS) as error:
         raise DecodeError(f"relay: {error!r}") from error
 
 
--- a/src/snipemount/errors.py
+++ b/src/snipemount/errors.py
@@ -4,6 +4,16 @@
 
 from enum import IntEnum
 
+# Raised by the conversion of malformed input.
+MALFORMED_INPUT_ERRORS = (
+    ValueError,
+    KeyError,
+    IndexError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 DEFAULT_HTTP_STATUS_BY_GROUP = {0: 200, 1: 400, 2: 503, 3: 502, 4: 409, 5: 401, 9: 500}
 
 
@@ -194,6 +204,7 @@
 
 
 __all__ = [
+    "MALFORMED_INPUT_ERRORS",
     "ConflictError",
     "CredentialsError",
     "DecodeError",
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any
 
-from ..errors import DecodeError
+from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..model.configuration import (
     CallerLimits,
     Configuration,
@@ -24,7 +26,8 @@
 MS_PER_S = 1000.0
 MAX_PORT = 65535
 MOVE_STATES = {"running": "running", "completed": "done", "rolled_back": "taken_back"}
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000.0
 
 
 def decode_configuration(stored: StoredObject) -> Configuration:
@@ -43,7 +46,7 @@
             services={s["name"]: _service(s) for s in spec.get("backends") or ()},
             limits=_limits(spec.get("limits") or {}),
         )
-    except DECODE_ERRORS as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
 
 
@@ -110,21 +113,23 @@
         host, _, port_text = _text(spec, "address").rpartition(":")
         port = int(port_text)
         state = _text(spec, "state")
-        if not host or not 0 < port <= MAX_PORT or state not in ("ready", "draining"):
-            raise ValueError("address is not host:port, or state is unknown")
+        if not 0 < port <= MAX_PORT or state not in ("ready", "draining"):
+            raise ValueError("port is out of range, or state is unknown")
+        if not (stored.name.isascii() and stored.name.isprintable()):
+            raise ValueError("the name cannot be sent in a header")
         return Leaf(
             leaf_id=stored.name,
             service=_text(spec, "backend"),
-            host=host,
+            host=str(ip_address(host)),
             port=port,
             zone=_text(spec, "zone"),
             version=_text(spec, "version"),
-            slots=max(1, _integer(spec, "max_concurrency")),
+            slots=min(MAX_SLOTS, max(1, _integer(spec, "max_concurrency"))),
             draining=state == "draining",
-            cold_ms=float(_number(spec, "cold_remaining_ms")),
+            cold_ms=min(MAX_COLD_MS, _finite(_number(spec, "cold_remaining_ms"))),
             started_wall_ms=float(_started_wall_ms(stored)),
         )
-    except DECODE_ERRORS as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
 
 
@@ -151,6 +156,13 @@
     return value
 
 
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not a finite number")
+    return number
+
+
 def _integer(spec: dict[str, Any], key: str) -> int:
     value = spec[key]
     if isinstance(value, bool) or not isinstance(value, int):
@@ -172,11 +184,11 @@
         return VersionOrder(
             service=_text(spec, "backend"),
             to_version=_text(spec, "target_version"),
-            duration_ms=float(spec["duration_s"]) * MS_PER_S,
+            duration_ms=_finite(spec["duration_s"]) * MS_PER_S,
             revision=stored.created_version,
             status=MOVE_STATES.get(str(status.get("state") or ""), ""),
         )
-    except DECODE_ERRORS as error:
+    except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
 
 
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -8,11 +8,10 @@
 import aiohttp
 
 from ..decisions.state_age import MAX_WATCH_WAIT_MS
+from ..errors import MALFORMED_INPUT_ERRORS
 from ..ports.platform import (
-    Changed,
     Confirmed,
     Conflicted,
-    Deleted,
     Expired,
     Failed,
     Found,
@@ -24,6 +23,7 @@
     Watch,
     Written,
 )
+from .store_documents import Changes, read_changes, read_object, read_page
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -47,7 +47,6 @@
 LEAF_WATCH_PAUSE_MS = 250.0
 MS_PER_S = 1000.0
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
-DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 T = TypeVar("T")
 
 
@@ -56,44 +55,6 @@
     return KIND_PATHS.get(kind, kind.value)
 
 
-def object_document(stored: StoredObject) -> dict[str, Any]:
-    """Encode an object as a JSON document of the store."""
-    meta = {
-        "name": stored.name,
-        "revision": stored.version,
-        "create_revision": stored.created_version,
-        "finalizers": [],
-        "deleting": False,
-    }
-    return {"meta": meta, "spec": stored.spec, "status": stored.status}
-
-
-def parse_object(kind: Kind, document: dict[str, Any]) -> StoredObject:
-    """Decode the object in a JSON document of the store.
-
-    Any process may write a spec: one that is not a JSON object is read as empty.
-    """
-    meta = document["meta"]
-    spec = document.get("spec")
-    status = document.get("status")
-    return StoredObject(
-        kind,
-        str(meta["name"]),
-        int(meta["revision"]),
-        spec if isinstance(spec, dict) else {},
-        status if isinstance(status, dict) else None,
-        int(meta.get("create_revision") or 0),
-    )
-
-
-def parse_event(kind: Kind, event: dict[str, Any]) -> Changed | Deleted:
-    """Decode the change in one event of a watch."""
-    stored = parse_object(kind, event["object"])
-    if event.get("removed"):
-        return Deleted(kind, stored.name, stored.version)
-    return Changed(stored)
-
-
 class StoreClient(PlatformPort):
     """HTTP client for the platform's object store.
 
@@ -211,7 +172,7 @@
             result: T | Failed = await call
         except CALL_ERRORS as error:
             result = Failed(type(error).__name__)
-        except DECODE_ERRORS as error:
+        except MALFORMED_INPUT_ERRORS as error:
             result = Failed(f"malformed response: {error}")
         done(result)
 
@@ -227,7 +188,7 @@
                 return Missing()
             if response.status != 200:
                 return Failed(f"status {response.status}")
-            return Found(parse_object(kind, await response.json()))
+            return Found(read_object(kind, await response.read()))
 
     async def _list(self, kind: Kind, may_be_stale: bool) -> ListResult:
         url = f"{self._base}/{kind_path(kind)}"
@@ -241,14 +202,17 @@
                 self._count("list", response)
                 if response.status != 200:
                     return Failed(f"status {response.status}")
-                document = await response.json()
-            objects += (parse_object(kind, item) for item in document["items"])
+                page = read_page(kind, await response.read())
+            objects += page.objects
+            self._metrics.unreadable_entries(kind.value, page.unreadable)
             # The version of the first page: a watch from it also reports the changes
             # made while later pages were read.
-            version = version or int(document["store_revision"])
-            if not document.get("has_more") or not objects:
+            version = version or page.version
+            if not page.last_name:
                 return Listed(tuple(objects), version)
-            query["after"] = objects[-1].name
+            if page.last_name == query.get("after"):
+                return Failed(f"the page after {page.last_name!r} ends with it again")
+            query["after"] = page.last_name
 
     async def _write(
         self, kind: Kind, name: str, spec: dict[str, Any], version: int | None
@@ -272,7 +236,7 @@
                 return Conflicted()
             if response.status not in (200, 201):
                 return Failed(f"status {response.status}")
-            return Written(parse_object(kind, await response.json()))
+            return Written(read_object(kind, await response.read()))
 
     async def _watch(
         self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
@@ -287,31 +251,29 @@
             except CALL_ERRORS as error:
                 self._metrics.store_call("watch", type(error).__name__)
                 end = Failed(type(error).__name__)
-            except DECODE_ERRORS as error:
+            except MALFORMED_INPUT_ERRORS as error:
                 end = Failed(f"malformed event: {error}")
             else:
                 age_ms = self._state_age_ms(polled, called_ms)
                 end, version = self._notify(polled, version, age_ms, on_event)
-                if kind is Kind.LEAF and end is None and polled != ([], version):
+                if kind is Kind.LEAF and isinstance(polled, Changes) and polled.events:
                     await asyncio.sleep(LEAF_WATCH_PAUSE_MS / MS_PER_S)
         on_event(end)
 
     def _state_age_ms(
-        self,
-        polled: tuple[list[Changed | Deleted], int] | Expired | Failed,
-        called_ms: float,
+        self, polled: Changes | Expired | Failed, called_ms: float
     ) -> float:
         """Return how long ago the store may have made this response.
 
         Without a change it makes one only after the wait.
         """
         took_ms = self._timers.now_ms() - called_ms
-        unchanged = not isinstance(polled, Expired | Failed) and not polled[0]
+        unchanged = isinstance(polled, Changes) and not polled.events
         return max(0.0, took_ms - self._watch_wait_ms) if unchanged else took_ms
 
     async def _poll(
         self, kind: Kind, url: str, query: dict[str, str]
-    ) -> tuple[list[Changed | Deleted], int] | Expired | Failed:
+    ) -> Changes | Expired | Failed:
         async with self._client().get(
             url, params=query, timeout=self._watch_timeout
         ) as response:
@@ -320,31 +282,23 @@
                 return Expired()
             if response.status != 200:
                 return Failed(f"status {response.status}")
-            document = await response.json()
-        events = [parse_event(kind, event) for event in document["events"]]
-        return events, int(document["store_revision"])
+            changes = read_changes(kind, await response.read())
+        self._metrics.unreadable_entries(kind.value, changes.unreadable)
+        return changes
 
     @staticmethod
     def _notify(
-        polled: tuple[list[Changed | Deleted], int] | Expired | Failed,
+        polled: Changes | Expired | Failed,
         version: int,
         age_ms: float,
         on_event: Callable[[WatchEvent], None],
     ) -> tuple[Expired | Failed | None, int]:
         if isinstance(polled, Expired | Failed):
             return polled, version
-        events, newest = polled
-        for event in events:
+        for event in polled.events:
             on_event(event)
-        on_event(Confirmed(newest, age_ms))
-        return None, newest
-
-
-__all__ = [
-    "OBJECTS_PATH",
-    "StoreClient",
-    "kind_path",
-    "object_document",
-    "parse_event",
-    "parse_object",
-]
+        on_event(Confirmed(polled.version, age_ms))
+        return None, polled.version
+
+
+__all__ = ["OBJECTS_PATH", "StoreClient", "kind_path"]
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -32,6 +32,10 @@
     def store_call(self, call: str, result: str) -> None:
         """Count a call to the platform's store by its result."""
 
+    @abstractmethod
+    def unreadable_entries(self, kind: str, count: int) -> None:
+        """Count entries of the store without a name that can be read."""
+
     @abstractmethod
     def delegation(self, result: str) -> None:
         """Count a query that was given to a coordinator, by what became of it."""
@@ -59,6 +63,9 @@
     def store_call(self, call: str, result: str) -> None:
         """Do nothing."""
 
+    def unreadable_entries(self, kind: str, count: int) -> None:
+        """Do nothing."""
+
     def delegation(self, result: str) -> None:
         """Do nothing."""
 
--- a/src/snipemount/standins/platform_http.py
+++ b/src/snipemount/standins/platform_http.py
@@ -8,12 +8,8 @@
 import attrs
 from aiohttp import web
 
-from ..platform.store_client import (
-    OBJECTS_PATH,
-    kind_path,
-    object_document,
-    parse_object,
-)
+from ..platform.store_client import OBJECTS_PATH, kind_path
+from ..platform.store_documents import object_document, parse_object
 from ..ports.platform import Changed, Conflicted, Found, Kind, Missing, StoredObject
 
 if TYPE_CHECKING:
@@ -164,7 +160,10 @@
         document = await request.json()
         document["meta"].setdefault("revision", 0)
         document["meta"].setdefault("name", request.match_info.get("name", ""))
-        return parse_object(kind, document)
+        desired = parse_object(kind, document)
+        if desired is None:
+            raise web.HTTPBadRequest
+        return desired
 
     async def _respond_to_write(
         self,
