Test that a response cut in its head is no answer, wherever it ends

Result: does not happen here: four forms of head, cut at each byte, then closed or reset, and bodies with a length or in chunks, cut at each byte, yield no valid response. The scenario passes on the code as it was; no code is changed.

--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -128,3 +128,10 @@
     Given a connection to a leaf with a pending request
     When the leaf responds to another request with the limit 3 and closes
     Then no limit is read
+
+  # A leaf stopped in the middle of its head and closed: callers must not get a whole 200.
+  Scenario: A response that ends before its head does is no answer, wherever it ends
+    Then a response that ends anywhere in its head and is closed is no answer
+    And one that ends there and is reset is no answer
+    And one that ends anywhere in a body with a length is no answer
+    And one that ends anywhere in a chunked body is no answer
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -138,6 +138,66 @@
     assert report.notice is None, report
 
 
+HEAD_VARIANTS = (
+    make_response(),
+    make_response(length=False),
+    make_response(body=b""),
+    make_response().replace(b"Content-Length: 48", b"Connection: close"),
+)
+
+
+def outcome_of(sent, error):
+    """Return the outcome after a leaf has sent some bytes and the connection ends."""
+    loop = asyncio.new_event_loop()
+    try:
+        connection, reports, _ = begin_request(loop)
+        if sent:
+            connection.data_received(sent)
+        connection.connection_lost(error)
+    finally:
+        loop.close()
+    (report,) = reports
+    return report.outcome
+
+
+def check_cut_heads(error):
+    """Check that no response is an answer that ends anywhere in its head."""
+    for response in HEAD_VARIANTS:
+        head_bytes = response.index(b"\r\n\r\n") + 4
+        for end in range(head_bytes):
+            outcome = outcome_of(response[:end], error)
+            assert isinstance(outcome, NoValidResponse), (response[:end], outcome)
+
+
+@then("a response that ends anywhere in its head and is closed is no answer")
+def step_cut_head_closed(context):
+    check_cut_heads(None)
+
+
+@then("one that ends there and is reset is no answer")
+def step_cut_head_reset(context):
+    check_cut_heads(ConnectionResetError())
+
+
+@then("one that ends anywhere in a body with a length is no answer")
+def step_cut_body(context):
+    response = make_response()
+    for end in range(len(response) - len(BODY), len(response)):
+        outcome = outcome_of(response[:end], None)
+        assert isinstance(outcome, NoValidResponse), (response[:end], outcome)
+
+
+@then("one that ends anywhere in a chunked body is no answer")
+def step_cut_chunks(context):
+    head = make_response(length=False)[: -len(BODY) - 2]
+    chunks = b"10\r\n" + BODY[:16] + b"\r\n20\r\n" + BODY[16:] + b"\r\n0\r\n\r\n"
+    response = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+    assert isinstance(outcome_of(response, None), LeafAnswer)
+    for end in range(len(response) - len(chunks), len(response)):
+        outcome = outcome_of(response[:end], None)
+        assert isinstance(outcome, NoValidResponse), (response[:end], outcome)
+
+
 @when("the connection reaches EOF")
 def step_eof(context):
     context.connection.connection_lost(None)
