Refuse what comes late in a planned stop, and answer what still runs at its end

What operators of like systems saw: requests that came late in the grace period were passed on and cut at its end with no answer, among them requests that may not be repeated. Cause: it could happen here: while requests kept coming a stopping daemon was never idle and passed on each until 0.6 s before the kill; what then ran was cut when the process ended. Change: from 3 s after the signal (half of a short grace) new requests are refused with the promise of not having run; at the end pending requests get 502. The stop is a module of its own, graceful_stop.py, out of entry_daemon.py.

--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -29,6 +29,7 @@
 from .logs import make_logger
 from .platform.caller_server import CallerServer
 from .platform.documents import PlatformDecoders
+from .platform.graceful_stop import StopTimes, stop_serving
 from .platform.leaf_client import LeafClient
 from .platform.node_file import node_file_path, read_node_file
 from .platform.store_client import StoreClient
@@ -58,11 +59,6 @@
 CONNECTION_SHARE = 0.95
 # Connections to a leaf whose service is not in the configuration.
 DEFAULT_MAX_CONNECTIONS = 2
-# Time in which the balancer stops sending callers: two failed readiness checks and
-# the requests that are then still in transit.
-BALANCER_REMOVAL_MS = 2500.0
-# End of the grace period that is kept free to close everything before the kill.
-CLOSE_RESERVE_MS = 600.0
 
 
 class EntryDaemon:
@@ -321,20 +317,14 @@
         The readiness check fails first, so that the balancer moves callers to other
         daemons; then the running requests are completed and everything is closed.
         """
-        started_ms = self._timers.now_ms()
-        end_ms = started_ms + self._settings.bounds.grace_ms - CLOSE_RESERVE_MS
-        self._caller_server.closing = True
         self._delegated_queries.stop()
-        self.logger.info("stopping", in_flight=self._caller_server.in_flight)
-        await self._timers.sleep(BALANCER_REMOVAL_MS)
-        await self._caller_server.wait_until_idle(self._timers, end_ms)
-        # The listener closes only when no request runs, so that a request that
-        # arrives at this moment meets the close before any of it has been read.
-        listener.close()
-        self._caller_server.close_idle()
-        await self._caller_server.wait_until_idle(self._timers, end_ms)
-        self._caller_server.start_refusing()
-        self.logger.info("stopped", in_flight=self._caller_server.in_flight)
+        await stop_serving(
+            self._caller_server,
+            listener.close,
+            self._timers,
+            StopTimes.for_grace(self._settings.bounds.grace_ms),
+            self.logger,
+        )
         self._leaf_client.close()
         await self._relay.close()
         await self._delegation_server.close()
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -144,6 +144,7 @@
     LEAF_LOST = "leaf_lost"
     TOO_FEW_SHARDS = "too_few_shards"
     TIMEOUT = "timeout"
+    STOPPING = "stopping"
 
 
 @attrs.frozen
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -43,7 +43,9 @@
     FailureReason.LEAF_LOST: 502,
     FailureReason.TOO_FEW_SHARDS: 502,
     FailureReason.TIMEOUT: 504,
+    FailureReason.STOPPING: 502,
 }
+ENDED_BY_STOP = RequestFailed(FailureReason.STOPPING)
 
 
 def _none() -> int:
@@ -75,6 +77,7 @@
         )
         self.closing = False
         self._refusing = False
+        self._pending: set[asyncio.Future[RequestOutcome]] = set()
         self.in_flight = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -90,26 +93,39 @@
             access_log=DISABLED_LOGGER,
         )
 
-    async def wait_until_idle(self, timers: LoopTimers, end_ms: float) -> None:
+    async def wait_until_idle(self, timers: LoopTimers, end_ms: float) -> bool:
         """Wait until no request is in flight, until `end_ms` at the latest.
 
         A request whose bytes have been read counts as in flight only from the next
         iteration of the event loop, so two consecutive checks must find none.
+
+        Returns
+        -------
+        bool
+            Whether no request is in flight.
         """
         idle_checks = 0
         while idle_checks < REQUIRED_IDLE_CHECKS and timers.now_ms() < end_ms:
             await timers.sleep(IDLE_CHECK_PERIOD_MS)
             in_flight = self.in_flight + self._delegated_in_flight()
             idle_checks = 0 if in_flight else idle_checks + 1
+        return idle_checks >= REQUIRED_IDLE_CHECKS
 
     def close_idle(self) -> None:
         """Close each connection as soon as it has no request in flight."""
         self._server.pre_shutdown()
 
     def start_refusing(self) -> None:
-        """Refuse every request read from now on, as the process is about to exit."""
+        """Refuse every request read from now on, as it might not end in time."""
         self._refusing = True
 
+    def fail_pending(self) -> int:
+        """End the requests in flight, which may have run; return how many."""
+        pending = [future for future in self._pending if not future.done()]
+        for future in pending:
+            future.set_result(ENDED_BY_STOP)
+        return len(pending)
+
     def _make_request(
         self,
         message: RawRequestMessage,
@@ -152,11 +168,16 @@
             asyncio.get_running_loop().create_future()
         )
         run = self._gateway.submit(forward, future.set_result)
+        self._pending.add(future)
         try:
             outcome = await future
         except asyncio.CancelledError:
             run.cancel()
             raise
+        finally:
+            self._pending.discard(future)
+        if outcome is ENDED_BY_STOP:
+            run.cancel()
         return make_response(forward, outcome)
 
 
--- a/tests/steps/stopping_steps.py
+++ b/tests/steps/stopping_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 from serving_world import HOST, SHARDS, ServingWorld
 
-from snipemount.platform.caller_server import CallerServer
+from snipemount.platform.caller_server import IDLE_CHECK_PERIOD_MS, CallerServer
+from snipemount.platform.graceful_stop import StopTimes, stop_serving
 from snipemount.timers import LoopTimers
 
 HEAD = f"HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: abc\r\nX-Deadline-Ms: 900\r\n\r\n"
@@ -107,3 +108,86 @@
 @then("the response announces that the connection closes")
 def step_announced(context):
     assert b"connection: close" in context.transport.written.lower()
+
+
+@given("leafs that take {work_ms:g} ms")
+def step_work(context, work_ms):
+    context.work_ms = work_ms
+
+
+@when("it stops within {end_ms:g} ms while a request arrives each {period_ms:g} ms")
+def step_stop(context, end_ms, period_ms):
+    """Stop with requests that come on connections of their own until the end."""
+    context.transports = []
+
+    async def stop():
+        timers = LoopTimers(asyncio.get_running_loop())
+        context.serving = ServingWorld(timers=timers)
+        context.serving.start()
+        for number in range(4):
+            script = context.serving.leafs.scripts[f"ledger-{number}"]
+            script.work_ms = context.work_ms
+        server = CallerServer(context.serving.gateway)
+        context.started_ms = timers.now_ms()
+
+        def arrive():
+            number = len(context.transports)
+            protocol = server()
+            transport = MemoryTransport()
+            protocol.connection_made(transport)
+            context.transports.append((timers.now_ms(), transport))
+            protocol.data_received(
+                f"POST /log/{number} HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"X-Request-Id: {number}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+
+        arrivals = timers.call_every(period_ms, arrive)
+        times = StopTimes(250.0, 300.0, end_ms)
+        logger = context.serving.serving_context.logger
+        await stop_serving(server, lambda: None, timers, times, logger)
+        arrivals.cancel()
+
+    context.loop.run_until_complete(stop())
+
+
+def status_of(transport):
+    """Return the status of the response written to a transport; 0 for none."""
+    return int(transport.written[9:12] or 0)
+
+
+@then("no request was forwarded that came after {refuse_ms:g} ms")
+def step_none_forwarded(context, refuse_ms):
+    latest_ms = context.started_ms + refuse_ms + IDLE_CHECK_PERIOD_MS + 10.0
+    forwarded_ms = [time_ms for time_ms, _, _ in context.serving.leafs.arrivals]
+    assert forwarded_ms and max(forwarded_ms) <= latest_ms, forwarded_ms[-1]
+    context.late = [t for at_ms, t in context.transports if at_ms > latest_ms]
+    assert context.late
+
+
+@then("each of these got status {status:d}")
+def step_late_status(context, status):
+    assert {status_of(transport) for transport in context.late} == {status}
+
+
+@then("each request got an answer")
+def step_all_answered(context):
+    unanswered = [at_ms for at_ms, t in context.transports if not status_of(t)]
+    assert not unanswered, (len(unanswered), len(context.transports))
+
+
+@then("those that were forwarded got status {status:d}")
+def step_forwarded_status(context, status):
+    forwarded = {int(name) for _, _, name in context.serving.leafs.arrivals}
+    assert forwarded
+    found = {status_of(context.transports[number][1]) for number in forwarded}
+    assert found == {status}, found
+
+
+@then(
+    "in a stop with a grace of {grace_ms:g} ms requests are refused after "
+    "{refuse_ms:g} ms and ended at {end_ms:g} ms"
+)
+def step_times(context, grace_ms, refuse_ms, end_ms):
+    times = StopTimes.for_grace(grace_ms)
+    assert (times.refuse_ms, times.end_ms) == (refuse_ms, end_ms), times
+    assert times.removal_ms <= times.refuse_ms
