Send nothing more to a leaf whose answer says that it leaves

Change: LeafNotice.leaving; the directory excludes such a leaf until its end. What a start of a leaf has stated is kept when its entry lapses, and for answers that arrive meanwhile (LeafStatements, by id and start; by address too where the entry has no start). It never passes to another start. Limits are kept that way too.

--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -9,9 +9,10 @@
 from .leaf_state import LeafState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Hashable, Iterable
 
     from ..model.leaf import Leaf
+    from .leaf_state import LeafStatements
 
 # Leafs whose entries lapsed in an outage have registered again within this time.
 REMOVAL_GRACE_MS = 2200.0
@@ -19,6 +20,7 @@
 MIN_MASS_REMOVAL = 4
 # Within this time the stale entry lapses or is updated to the new address.
 REUSED_ADDRESS_MS = 10_000.0
+MAX_PAST_STATEMENTS = 1000
 
 
 class LeafDirectory:
@@ -33,6 +35,8 @@
         self._services: defaultdict[str, dict[str, LeafState]] = defaultdict(dict)
         self._usable: dict[str, list[LeafState]] = {}
         self._reused_until_ms: dict[str, float] = {}
+        # What leafs stated whose entries were removed: an entry may return.
+        self._past_statements: dict[Hashable, LeafStatements] = {}
         self._pending_removals: set[str] = set()
         self._zones_out: frozenset[str] = frozenset()
         self._held_versions: dict[str, str] = {}
@@ -66,7 +70,8 @@
         states = [
             state
             for state in self._services[service].values()
-            if not state.leaf.draining and state.leaf.zone not in self._zones_out
+            if not (state.leaf.draining or state.statements.leaving)
+            and state.leaf.zone not in self._zones_out
         ]
         held = self._held_versions.get(service)
         if held is None:
@@ -74,6 +79,28 @@
         others = [state for state in states if state.leaf.version != held]
         return others or states
 
+    def present_state(self, state: LeafState) -> LeafState:
+        """Return the state that the same start of a leaf has now.
+
+        Its entry may have lapsed and returned since an attempt began. What it states
+        while it has no entry is kept for its return.
+        """
+        present = self._leafs.get(state.leaf.leaf_id)
+        if present is not None and _start_of(present.leaf) == _start_of(state.leaf):
+            return present
+        self._keep_statements(state)
+        return state
+
+    def _keep_statements(self, state: LeafState) -> None:
+        self._past_statements.setdefault(_start_of(state.leaf), state.statements)
+        if len(self._past_statements) > MAX_PAST_STATEMENTS:
+            del self._past_statements[next(iter(self._past_statements))]
+
+    def mark_leaving(self, state: LeafState) -> None:
+        """Exclude a leaf that states that it leaves, until its end."""
+        state.statements.leaving = True
+        self._usable.pop(state.leaf.service, None)
+
     def mark_address_reused(self, leaf_id: str, now_ms: float) -> None:
         """Exclude a leaf for a while because another leaf answers at its address.
 
@@ -201,6 +228,9 @@
 
     def _add(self, leaf: Leaf, now_ms: float) -> None:
         state = LeafState(leaf, now_ms)
+        statements = self._past_statements.pop(_start_of(leaf), None)
+        if statements is not None:
+            state.statements = statements
         self._leafs[leaf.leaf_id] = state
         self._services[leaf.service][leaf.leaf_id] = state
         self._usable.pop(leaf.service, None)
@@ -213,7 +243,19 @@
             return None
         self._services[state.leaf.service].pop(leaf_id, None)
         self._usable.pop(state.leaf.service, None)
+        if not state.statements.empty:
+            self._keep_statements(state)
         return state.leaf
 
 
+def _start_of(leaf: Leaf) -> Hashable:
+    """Return what identifies one start of a leaf, also at another address.
+
+    An entry without the time of the start is told from another by its address.
+    """
+    if leaf.started_wall_ms > 0.0:
+        return leaf.incarnation
+    return leaf.incarnation, leaf.service, leaf.host, leaf.port
+
+
 __all__ = ["LeafDirectory"]
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -6,6 +6,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+import attrs
+
 from .cold_limit import ColdAttempts
 
 if TYPE_CHECKING:
@@ -32,6 +34,27 @@
 REFUSAL_DECAY_MS = 3000.0
 
 
+@attrs.define
+class LeafStatements:
+    """What one start of a leaf has stated about itself and still holds.
+
+    Parameters
+    ----------
+    limit : LeafLimit or None
+        Limit that it states for all daemons together.
+    leaving : bool
+        Whether it has stated that it leaves; that holds until its end.
+    """
+
+    limit: LeafLimit | None = None
+    leaving: bool = False
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is stated."""
+        return self == LeafStatements()
+
+
 class LeafState:
     """Statistics on one process start of a leaf.
 
@@ -54,8 +77,8 @@
         Until then the leaf counts as cold.
     cold_attempts : ColdAttempts
         Attempts during the cold start, for the limit on them.
-    limit : LeafLimit or None
-        Limit that the leaf states for all daemons together; None when it states none.
+    statements : LeafStatements
+        What this start of the leaf has stated about itself and still holds.
     """
 
     def __init__(self, leaf: Leaf, now_ms: float) -> None:
@@ -76,7 +99,12 @@
         self.consecutive_losses = 0
         self.cold_until_ms = now_ms + leaf.cold_ms
         self.cold_attempts = ColdAttempts()
-        self.limit: LeafLimit | None = None
+        self.statements = LeafStatements()
+
+    @property
+    def limit(self) -> LeafLimit | None:
+        """Limit that the leaf states for all daemons together, if it states one."""
+        return self.statements.limit
 
     @property
     def in_flight(self) -> int:
--- a/src/snipemount/model/leaf_notice.py
+++ b/src/snipemount/model/leaf_notice.py
@@ -39,9 +39,12 @@
     ----------
     limit : StatedLimit
         Requests that it takes from all daemons together.
+    leaving : bool
+        Whether it is about to end and must get no new requests.
     """
 
     limit: StatedLimit = NoLimit()
+    leaving: bool = False
 
 
 SILENT_NOTICE = LeafNotice()
--- a/src/snipemount/platform/headers.py
+++ b/src/snipemount/platform/headers.py
@@ -19,6 +19,7 @@
 MISSING_SHARDS = "X-Missing-Parts"
 RETRY_AFTER = "Retry-After"
 LEAF_LIMIT = "Server-Limit"
+LEAF_LEAVING = "Server-Leaving"
 
 # Headers that apply to one connection or are written anew for each message.
 HOP_BY_HOP = frozenset(
@@ -64,6 +65,7 @@
     "DEADLINE_MS",
     "EXPECTED_LEAF",
     "HOP_BY_HOP",
+    "LEAF_LEAVING",
     "LEAF_LIMIT",
     "LOAD",
     "MISSING_SHARDS",
--- a/src/snipemount/platform/leaf_notices.py
+++ b/src/snipemount/platform/leaf_notices.py
@@ -18,13 +18,16 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+LEAVING = "1"
+
 
 def parse_notice(headers: Mapping[str, str]) -> LeafNotice:
     """Return what the leaf states in the headers of a response."""
     limit = _parse_limit(headers.get(names.LEAF_LIMIT))
-    if isinstance(limit, NoLimit):
+    leaving = headers.get(names.LEAF_LEAVING, "").strip() == LEAVING
+    if isinstance(limit, NoLimit) and not leaving:
         return SILENT_NOTICE
-    return LeafNotice(limit)
+    return LeafNotice(limit, leaving)
 
 
 def _parse_limit(text: str | None) -> StatedLimit:
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -12,6 +12,7 @@
 from ..decisions.extra_attempts import ExtraAttemptBudget
 from ..decisions.limit_shares import ASSUMED_DAEMONS, LimitShares
 from ..model.forwarding import RefusalReason, RequestRefused
+from ..model.leaf_notice import SILENT_NOTICE
 from .leaf_limits import LeafLimits
 
 if TYPE_CHECKING:
@@ -226,7 +227,13 @@
 
     def note_leaf_notice(self, state: LeafState, notice: LeafNotice) -> None:
         """Record what a leaf states about itself."""
+        if notice is not SILENT_NOTICE:
+            state = self.directory.present_state(state)
         self.leaf_limits.note(state, notice.limit)
+        if notice.leaving and not state.statements.leaving:
+            self.directory.mark_leaving(state)
+            leaf = state.leaf
+            self.logger.info("leaf_leaving", leaf=leaf.leaf_id, service=leaf.service)
 
     def probe_zones(self) -> None:
         """Probe one leaf of each cut-off zone whose probe is due."""
--- a/src/snipemount/serving/leaf_limits.py
+++ b/src/snipemount/serving/leaf_limits.py
@@ -37,7 +37,7 @@
             case NoLimit():
                 if state.limit is None:
                     return
-                state.limit = None
+                state.statements.limit = None
                 self._log(state, "none")
             case RequestLimit(per_s):
                 if state.limit is not None and state.limit.per_s == per_s:
@@ -71,7 +71,7 @@
         now_ms = self._context.timers.now_ms()
         share = self._share(state, per_s)
         if state.limit is None:
-            state.limit = LeafLimit(per_s, share, now_ms)
+            state.statements.limit = LeafLimit(per_s, share, now_ms)
         else:
             state.limit.update(per_s, share, now_ms)
 
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -135,3 +135,17 @@
     And one that ends there and is reset is no answer
     And one that ends anywhere in a body with a length is no answer
     And one that ends anywhere in a chunked body is no answer
+
+  Scenario Outline: A leaf states in its responses that it leaves
+    Given a connection to a leaf with a pending request
+    When the leaf responds with status <status> and the field <field>
+    Then the leaf is <read>
+
+    Examples:
+      | status | field             | read    |
+      | 200    | Server-Leaving: 1 | leaving |
+      | 500    | server-leaving: 1 | leaving |
+      | 503    | Server-Leaving: 1 | leaving |
+      | 200    | Server-Leaving: 0 | staying |
+      | 200    | Server-Leaving:   | staying |
+      | 200    | X-Other: 1        | staying |
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -125,6 +125,17 @@
     context.connection.connection_lost(None)
 
 
+@when("the leaf responds with status {status:d} and the field {field}")
+def step_states_field(context, status, field):
+    context.connection.data_received(make_stating(status, [field]))
+
+
+@then("the leaf is {read}")
+def step_leaving_read(context, read):
+    (report,) = context.reports
+    assert report.notice.leaving == (read == "leaving"), report
+
+
 @then("the limit read is {limit}")
 def step_limit_read(context, limit):
     (report,) = context.reports
