Leave a leaf alone for as long as its refusal says

Change: LeafNotice.rest_ms, from 503 alone; the leaf is no candidate of any attempt until then, also when its entry lapses meanwhile. No number of seconds, or a negative one, is ignored; more than an hour counts as one. Refusals of callers, also those after leafs refused, state when enough leafs take requests again.

--- a/src/snipemount/decisions/leaf_limit.py
+++ b/src/snipemount/decisions/leaf_limit.py
@@ -80,10 +80,6 @@
         self._share = share
         self._bucket.resize(share.burst, self._rate_per_ms, now_ms)
 
-    def allows(self, now_ms: float) -> bool:
-        """Return whether a request may be sent now."""
-        return self.ms_until_allowed(now_ms) <= 0.0
-
     def ms_until_allowed(self, now_ms: float) -> float:
         """Return the time until a request may be sent, in milliseconds."""
         if self._has_share:
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -44,15 +44,30 @@
         Limit that it states for all daemons together.
     leaving : bool
         Whether it has stated that it leaves; that holds until its end.
+    rests_until_ms : float
+        Until then it wants no requests of this daemon.
     """
 
     limit: LeafLimit | None = None
     leaving: bool = False
+    rests_until_ms: float = -math.inf
+
+    def rest(self, until_ms: float) -> None:
+        """Record that the leaf wants no requests until then."""
+        self.rests_until_ms = max(self.rests_until_ms, until_ms)
+
+    def ms_until_allowed(self, now_ms: float) -> float:
+        """Return the time until the leaf takes a request of this daemon again."""
+        rest_ms = max(0.0, self.rests_until_ms - now_ms)
+        if self.limit is None:
+            return rest_ms
+        return max(rest_ms, self.limit.ms_until_allowed(now_ms))
 
     @property
     def empty(self) -> bool:
         """Whether nothing is stated."""
-        return self == LeafStatements()
+        rested = self.rests_until_ms > -math.inf
+        return self.limit is None and not self.leaving and not rested
 
 
 class LeafState:
--- a/src/snipemount/model/leaf_notice.py
+++ b/src/snipemount/model/leaf_notice.py
@@ -41,10 +41,13 @@
         Requests that it takes from all daemons together.
     leaving : bool
         Whether it is about to end and must get no new requests.
+    rest_ms : float
+        Time for which it wants no requests of this daemon; 0 if it states none.
     """
 
     limit: StatedLimit = NoLimit()
     leaving: bool = False
+    rest_ms: float = 0.0
 
 
 SILENT_NOTICE = LeafNotice()
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -269,7 +269,7 @@
             or self._is_to_other_request(message)
         ):
             return None
-        return parse_notice(message.headers)
+        return parse_notice(message.code, message.headers)
 
     def _release_bytes(self) -> None:
         """Stop counting what was read, as the response has ended."""
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -16,7 +16,7 @@
 from .leaf_limits import LeafLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from structlog.typing import FilteringBoundLogger
 
@@ -186,25 +186,34 @@
         reached_shards = sum(bool(self.reachable(shard)) for shard in target.shards)
         return target.suffices(reached_shards)
 
-    def refuse(self, *shards: str, min_share: float = 1.0) -> RequestRefused:
-        """Return the refusal of a request for lack of leafs that may be asked now.
+    def refuse(
+        self, shards: Sequence[str], min_share: float, attempted: bool
+    ) -> RequestRefused:
+        """Return the refusal of a request that no leaf has run.
+
+        It states when enough leafs take requests again, as far as they have said so.
 
         Parameters
         ----------
-        *shards : str
-            Services of which each has to answer.
+        shards : Sequence of str
+            Services that have to answer.
         min_share : float
             Share of them that suffices, 0 to 1.
+        attempted : bool
+            Whether leafs were asked, which all refused.
         """
         waits_ms = sorted(
             self.leaf_limits.ms_until_allowed(self.reachable(shard)) for shard in shards
         )
         needed = max(1, math.ceil(min_share * len(waits_ms)))
         wait_ms = waits_ms[needed - 1]
-        if not 0.0 < wait_ms < math.inf:
-            return RequestRefused(RefusalReason.NO_LEAF, RETRY_AFTER_MS)
-        retry_after_ms = min(MAX_RETRY_AFTER_MS, max(RETRY_AFTER_MS, wait_ms))
-        return RequestRefused(RefusalReason.LEAF_LIMITS, retry_after_ms)
+        must_wait = 0.0 < wait_ms < math.inf
+        retry_after_ms = max(RETRY_AFTER_MS, wait_ms) if must_wait else RETRY_AFTER_MS
+        if attempted:
+            reason = RefusalReason.ALL_REFUSED
+        else:
+            reason = RefusalReason.LEAF_LIMITS if must_wait else RefusalReason.NO_LEAF
+        return RequestRefused(reason, min(MAX_RETRY_AFTER_MS, retry_after_ms))
 
     def note_response(self, leaf: Leaf) -> None:
         """Record a response of a leaf; logs when its zone is reachable again."""
@@ -230,11 +239,22 @@
         if notice is not SILENT_NOTICE:
             state = self.directory.present_state(state)
         self.leaf_limits.note(state, notice.limit)
+        if notice.rest_ms > 0.0:
+            self._note_rest(state, notice.rest_ms)
         if notice.leaving and not state.statements.leaving:
             self.directory.mark_leaving(state)
             leaf = state.leaf
             self.logger.info("leaf_leaving", leaf=leaf.leaf_id, service=leaf.service)
 
+    def _note_rest(self, state: LeafState, rest_ms: float) -> None:
+        state.statements.rest(self.timers.now_ms() + rest_ms)
+        self.logger.info(
+            "leaf_rests",
+            leaf=state.leaf.leaf_id,
+            service=state.leaf.service,
+            rest_ms=round(rest_ms),
+        )
+
     def probe_zones(self) -> None:
         """Probe one leaf of each cut-off zone whose probe is due."""
         for zone in self.reachability.due_probes(self.timers.now_ms()):
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -10,12 +10,10 @@
     FailureReason,
     LeafAnswer,
     Merged,
-    RefusalReason,
     RequestFailed,
     RequestRefused,
 )
 from ..model.query_stages import QueryStages
-from .context import RETRY_AFTER_MS
 from .request_log import Unanswered
 from .run import RoutedRun
 from .service_call import ServiceCall
@@ -102,9 +100,7 @@
         """Ask every shard; refuse at once if too few have a leaf that can be asked."""
         context = self._context
         if not context.can_serve(self._target):
-            target = self._target
-            refusal = context.refuse(*target.shards, min_share=target.min_share)
-            self._finish(refusal)
+            self._finish(self._refusal(attempted=False))
             return
         self._schedule_check(context.timing(self._route).hedge_delay_ms(self._route))
         self._schedule_deadline()
@@ -218,7 +214,11 @@
             return Merged(receipts, len(self._calls) - len(answers), body)
         if any(call.may_have_run for call in self._calls):
             return RequestFailed(failure)
-        return RequestRefused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
+        return self._refusal(attempted=True)
+
+    def _refusal(self, attempted: bool) -> RequestRefused:
+        target = self._target
+        return self._context.refuse(target.shards, target.min_share, attempted)
 
     def _cancel_calls(self) -> None:
         self._context.running_legs -= self._running_legs
--- a/src/snipemount/serving/leaf_limits.py
+++ b/src/snipemount/serving/leaf_limits.py
@@ -52,19 +52,16 @@
                 self._set(state, state.limit.per_s)
 
     def allowed(self, states: list[LeafState]) -> list[LeafState]:
-        """Return the leafs to which a request may be sent within their limits."""
-        if all(state.limit is None for state in states):
+        """Return the leafs that take a request of this daemon now, as they state."""
+        if all(state.statements.empty for state in states):
             return states
         now_ms = self._context.timers.now_ms()
-        return [s for s in states if s.limit is None or s.limit.allows(now_ms)]
+        return [s for s in states if s.statements.ms_until_allowed(now_ms) <= 0.0]
 
     def ms_until_allowed(self, states: Iterable[LeafState]) -> float:
         """Return the time until one of the leafs may get a request; inf for none."""
         now_ms = self._context.timers.now_ms()
-        waits_ms = (
-            0.0 if state.limit is None else state.limit.ms_until_allowed(now_ms)
-            for state in states
-        )
+        waits_ms = (state.statements.ms_until_allowed(now_ms) for state in states)
         return min(waits_ms, default=math.inf)
 
     def _set(self, state: LeafState, per_s: float) -> None:
--- a/src/snipemount/serving/single_run.py
+++ b/src/snipemount/serving/single_run.py
@@ -7,11 +7,8 @@
 from ..model.forwarding import (
     FailureReason,
     Forwarded,
-    RefusalReason,
     RequestFailed,
-    RequestRefused,
 )
-from .context import RETRY_AFTER_MS
 from .request_log import Unanswered
 from .run import RoutedRun
 from .service_call import ServiceCall
@@ -93,9 +90,7 @@
             return Forwarded(answer)
         if call.may_have_run:
             return RequestFailed(failure)
-        if call.was_attempted:
-            return RequestRefused(RefusalReason.ALL_REFUSED, RETRY_AFTER_MS)
-        return self._context.refuse(call.service)
+        return self._context.refuse((call.service,), 1.0, call.was_attempted)
 
 
 __all__ = ["SingleRun"]
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -149,3 +149,21 @@
       | 200    | Server-Leaving: 0 | staying |
       | 200    | Server-Leaving:   | staying |
       | 200    | X-Other: 1        | staying |
+
+  Scenario Outline: A leaf that refuses states how long it wants no requests
+    Given a connection to a leaf with a pending request
+    When the leaf responds with status <status> and the field <field>
+    Then the leaf wants nothing for <rest_ms> ms
+
+    Examples:
+      | status | field                                      | rest_ms |
+      | 503    | Retry-After: 2                             | 2000    |
+      | 503    | Retry-After: 0.25                          | 250     |
+      | 503    | Retry-After: 0                             | 0       |
+      | 503    | Retry-After: -3                            | 0       |
+      | 503    | Retry-After: nan                           | 0       |
+      | 503    | Retry-After: inf                           | 0       |
+      | 503    | Retry-After: Sat, 05 Dec 2026 02:00:00 GMT | 0       |
+      | 503    | Retry-After: 1e12                          | 3600000 |
+      | 200    | Retry-After: 2                             | 0       |
+      | 429    | Retry-After: 2                             | 0       |
--- a/tests/serving/leaf_statements.feature
+++ b/tests/serving/leaf_statements.feature
@@ -59,3 +59,30 @@
     And the leafs of zone-a take 10 ms
     And 20 queries/s are asked unevenly for 1 s
     Then the leafs of zone-a got something in the last 0.9 s
+
+  # Leafs that refused with a time to stay away were asked again 60 ms later.
+  Scenario: A leaf that refuses and wants nothing for a time gets nothing from this daemon
+    Given 1 daemons that ask the same shards of two leafs each
+    When 20 queries/s are asked unevenly for 1 s
+    And the leafs of zone-a refuse and want nothing for 2 s
+    And 20 queries/s are asked unevenly for 0.5 s
+    And the leafs of zone-a refuse nothing any more
+    And 20 queries/s are asked unevenly for 1.3 s
+    Then the leafs of zone-a got nothing in the last 1.3 s
+    When 20 queries/s are asked unevenly for 1.5 s
+    Then the leafs of zone-a got something in the last 1 s
+
+  Scenario: A lapsed entry that returns does not end that time
+    Given 1 daemons that ask the same shards of two leafs each
+    When the leafs of zone-a refuse and want nothing for 5 s
+    And 20 queries/s are asked unevenly for 0.5 s
+    And the entries of zone-a lapse and return
+    And 20 queries/s are asked unevenly for 1 s
+    Then the leafs of zone-a got nothing in the last 1 s
+
+  Scenario: When no leaf wants requests, callers are told when one does
+    Given 1 daemons that ask the same shards of two leafs each
+    When the leafs of zone-a refuse and want nothing for 2 s
+    And the leafs of zone-b refuse and want nothing for 3 s
+    And 20 queries/s are asked unevenly for 0.5 s
+    Then the last query was refused at once and may come back after 1400 to 2000 ms
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -130,6 +130,12 @@
     context.connection.data_received(make_stating(status, [field]))
 
 
+@then("the leaf wants nothing for {rest_ms:g} ms")
+def step_rest_read(context, rest_ms):
+    (report,) = context.reports
+    assert report.notice.rest_ms == rest_ms, report
+
+
 @then("the leaf is {read}")
 def step_leaving_read(context, read):
     (report,) = context.reports
--- a/tests/steps/leaf_statement_steps.py
+++ b/tests/steps/leaf_statement_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 from leaf_limit_steps import SHARDS
 
+from snipemount.model.forwarding import RequestRefused
 from snipemount.model.leaf_notice import SILENT_NOTICE, LeafNotice
 
 LATER_START_WALL_MS = 2.0
@@ -111,3 +112,32 @@
 @then("the leafs of {zone} got something in the last {span_s:g} s")
 def step_got_something(context, zone, span_s):
     assert arrivals_since(context, zone, span_s)
+
+
+@when("the leafs of {zone} refuse and want nothing for {rest_s:g} s")
+def step_rest(context, zone, rest_s):
+    state_in_zone(context, zone, LeafNotice(rest_ms=rest_s * 1000.0))
+    set_refusing(context, zone, True)
+
+
+@when("the leafs of {zone} refuse nothing any more")
+def step_no_rest(context, zone):
+    state_in_zone(context, zone, SILENT_NOTICE)
+    set_refusing(context, zone, False)
+
+
+def set_refusing(context, zone, refuses):
+    """Let the shards' leafs of a zone refuse what they get, or accept it."""
+    for shard in SHARDS:
+        context.leafs.scripts[f"{shard}-{zone}"].refuses = refuses
+
+
+@then(
+    "the last query was refused at once and may come back after {least_ms:g} to "
+    "{most_ms:g} ms"
+)
+def step_come_back(context, least_ms, most_ms):
+    sample = context.daemons[0].samples[-1]
+    assert isinstance(sample.outcome, RequestRefused), sample
+    assert sample.elapsed_ms == 0.0, sample
+    assert least_ms <= sample.outcome.retry_after_ms <= most_ms, sample
