Give no outcome to a caller that has just left

The error passed through the run, whose attempts were then not cancelled and whose legs were counted for ever: a coordinator seemed busier with each. Change: the outcome is given only to a caller that still waits. Test: stopping.feature; without the check it raises InvalidStateError.

--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -167,7 +167,12 @@
         future: asyncio.Future[RequestOutcome] = (
             asyncio.get_running_loop().create_future()
         )
-        run = self._gateway.submit(forward, future.set_result)
+
+        def give(outcome: RequestOutcome) -> None:
+            if not future.done():  # the caller may have left in this very moment
+                future.set_result(outcome)
+
+        run = self._gateway.submit(forward, give)
         self._pending.add(future)
         try:
             outcome = await future
--- a/tests/platform/stopping.feature
+++ b/tests/platform/stopping.feature
@@ -36,3 +36,9 @@
   Scenario: Short grace periods leave time for the answers
     Then in a stop with a grace of 6000 ms requests are refused after 3000 ms and ended at 5400 ms
     And in a stop with a grace of 2000 ms requests are refused after 1000 ms and ended at 1400 ms
+
+  # An outcome for a caller that had just left raised an error, which left attempts running.
+  Scenario: A caller that leaves at the moment of the answer leaves nothing running
+    Given a caller interface over scripted leafs in real time
+    When the caller of a query leaves just before its last leg is answered
+    Then no error is raised and no leg runs any more
--- a/tests/steps/stopping_steps.py
+++ b/tests/steps/stopping_steps.py
@@ -9,6 +9,7 @@
 
 from snipemount.platform.caller_server import IDLE_CHECK_PERIOD_MS, CallerServer
 from snipemount.platform.graceful_stop import StopTimes, stop_serving
+from snipemount.standins.scripted_leafs import ScriptedAttempt, ScriptedLeafs
 from snipemount.timers import LoopTimers
 
 HEAD = f"HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: abc\r\nX-Deadline-Ms: 900\r\n\r\n"
@@ -191,3 +192,51 @@
     times = StopTimes.for_grace(grace_ms)
     assert (times.refuse_ms, times.end_ms) == (refuse_ms, end_ms), times
     assert times.removal_ms <= times.refuse_ms
+
+
+class HeldLeafs(ScriptedLeafs):
+    """Leafs whose answers a scenario gives out itself."""
+
+    def __init__(self, timers):
+        super().__init__(timers)
+        self.held = []
+
+    def send(self, leaf, request, time_left_ms, done):
+        """Keep the callback of the attempt."""
+        self.held.append((leaf, done))
+        return ScriptedAttempt(None, lambda: None)
+
+    def answer(self, leaf, done):
+        """Give out the answer of a leaf."""
+        done(self._report(leaf, self.scripts[leaf.leaf_id]))
+
+
+@when("the caller of a query leaves just before its last leg is answered")
+def step_leaves(context):
+    async def leave():
+        timers = LoopTimers(asyncio.get_running_loop())
+        leafs = HeldLeafs(timers)
+        context.serving = ServingWorld(timers=timers, leafs=leafs)
+        context.serving.start()
+        server = CallerServer(context.serving.gateway)
+        protocol = server()
+        protocol.connection_made(context.transport)
+        protocol.data_received(f"GET /find/1 {HEAD}".encode())
+        while len(leafs.held) < len(SHARDS):
+            await timers.sleep(1.0)
+        *others, last = leafs.held
+        for leaf, done in others:
+            leafs.answer(leaf, done)
+        protocol.connection_lost(None)
+        leafs.answer(*last)
+        await timers.sleep(20.0)
+
+    errors = context.errors = []
+    context.loop.set_exception_handler(lambda _, error: errors.append(error))
+    context.loop.run_until_complete(leave())
+
+
+@then("no error is raised and no leg runs any more")
+def step_nothing_left(context):
+    assert not context.errors, context.errors
+    assert context.serving.serving_context.running_legs == 0
