--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -142,12 +142,14 @@
         parts_ms = [time_ms - self._started_ms for time_ms in parts_ms] or [0.0]
         return QueryStages(
             sent_ms=self._sent_ms,
-            connections_opened=sum(call.connections_opened for call in self._calls),
-            connect_ms=max(call.connect_ms for call in self._calls),
+            connections_opened=sum(
+                call.records.connections_opened for call in self._calls
+            ),
+            connect_ms=max(call.records.connect_ms for call in self._calls),
             first_part_ms=parts_ms[0],
             median_part_ms=parts_ms[len(parts_ms) // 2],
             last_part_ms=parts_ms[-1],
-            bytes_read=sum(call.bytes_read for call in self._calls),
+            bytes_read=sum(call.records.bytes_read for call in self._calls),
             loop_lag_ms=self._context.lag.value_ms,
         )
 
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -6,6 +6,7 @@
 
 from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS
 from ..model.forwarding import LeafAnswer, NotRun, NotRunReason, NoValidResponse
+from .attempt_records import AttemptRecords
 from .pending_attempt import PendingAttempt
 
 if TYPE_CHECKING:
@@ -68,12 +69,8 @@
         Latest server error.
     answered_ms : float
         Monotonic time of the answer; 0 before it.
-    bytes_read : int
-        Bytes read from leafs.
-    connections_opened : int
-        Number of attempts that opened a connection.
-    connect_ms : float
-        Longest time that an attempt waited for its connection.
+    records : AttemptRecords
+        What became of the attempts.
     """
 
     def __init__(
@@ -96,7 +93,6 @@
         self._timing = context.timing(route)
         self._tried_leafs: set[str] = set()
         self._pending: list[PendingAttempt] = []
-        self._ended_attempts: list[tuple[str, str, float]] = []
         self._earlier_attempts = earlier_attempts
         self._possible_runs = earlier_attempts
         self._request_further = request_further
@@ -108,9 +104,7 @@
         self.answer: LeafAnswer | None = None
         self.failure: LeafAnswer | None = None
         self.answered_ms = 0.0
-        self.bytes_read = 0
-        self.connections_opened = 0
-        self.connect_ms = 0.0
+        self.records = AttemptRecords()
 
     @property
     def may_have_run(self) -> bool:
@@ -124,16 +118,7 @@
 
     def describe_attempts(self) -> str:
         """Return each attempt as leaf, result and duration in ms, or `no_leaf`."""
-        now_ms = self._context.timers.now_ms()
-        waiting = [
-            (attempt.state.leaf.leaf_id, "waiting", now_ms - attempt.sent_ms)
-            for attempt in self._pending
-        ]
-        attempts = (
-            f"{leaf_id}:{result}:{took_ms:.0f}ms"
-            for leaf_id, result, took_ms in self._ended_attempts + waiting
-        )
-        return ",".join(attempts) or "no_leaf"
+        return self.records.describe(self._pending, self._context.timers.now_ms())
 
     def start(self) -> None:
         """Send the first attempt to the best leaf; settle if there is none."""
@@ -302,19 +287,9 @@
     def _record_attempt(
         self, attempt: PendingAttempt, report: AttemptReport, now_ms: float
     ) -> None:
-        match report.outcome:
-            case LeafAnswer(status=status):
-                result = str(status)
-            case NotRun(reason):
-                result = reason.value
-            case NoValidResponse(no_response):
-                result = no_response.value
-        self.bytes_read += report.bytes_read
-        self.connections_opened += report.connect_ms > 0.0
-        self.connect_ms = max(self.connect_ms, report.connect_ms)
-        took_ms = now_ms - attempt.sent_ms
-        self._context.metrics.attempt(attempt.state.leaf.zone, result, took_ms)
-        self._ended_attempts.append((attempt.state.leaf.leaf_id, result, took_ms))
+        ended = self.records.add(attempt, report, now_ms)
+        zone = attempt.state.leaf.zone
+        self._context.metrics.attempt(zone, ended.result, ended.took_ms)
 
     def _on_answer(
         self, attempt: PendingAttempt, answer: LeafAnswer, now_ms: float
