--- a/src/snipemount/commands/demo.py
+++ b/src/snipemount/commands/demo.py
@@ -325,7 +325,7 @@
         first = extra = 0
         for daemon in self._deployment.daemons.values():
             for service in self._plan.services:
-                state = daemon.node.entry.state(service.name)
+                state = daemon.node.entry.services.state(service.name)
                 if state is not None:
                     first += state.budget.first_attempts
                     extra += state.budget.extra_attempts
--- a/src/snipemount/experiments/round_robin.py
+++ b/src/snipemount/experiments/round_robin.py
@@ -62,7 +62,7 @@
         If a daemon does not know the service.
     """
     for daemon in world.daemons.values():
-        state = daemon.node.entry.state(service)
+        state = daemon.node.entry.services.state(service)
         if state is None:
             raise AssertionError(
                 f"daemon {daemon.node.own.name} does not know service {service}"
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -403,7 +403,7 @@
 
     def extra_load(self, service: str) -> float:
         """Return extra attempts as a fraction of first attempts, over all daemons."""
-        states = [d.node.entry.state(service) for d in self.daemons.values()]
+        states = [d.node.entry.services.state(service) for d in self.daemons.values()]
         first = sum(s.budget.first_attempts for s in states if s)
         extra = sum(s.budget.extra_attempts for s in states if s)
         return extra / first if first else 0.0
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -24,13 +24,14 @@
     SendExchange,
     WakeAt,
 )
-from ..decisions.service_state import ServiceState
 from ..errors import ResultCode
 from ..histograms import Histograms, Series
 from ..model.answer import Answer
 from ..model.exchange import ExchangeReply, Fate, Reason
 from .answer_store import answer_from_text, answer_to_text
 from .jobs import Job, PendingExchange
+from .proof_gate import Admitted, ProofGate, Quarantined, WaitsForProof
+from .service_states import ServiceStates
 from .shard_key import shard_of
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     from ..decisions.claims import ClaimResult
     from ..decisions.quarantine import Quarantine
     from ..decisions.run_actions import RunAction
+    from ..decisions.service_state import ServiceState
     from ..model.exchange import Exchange
     from ..model.fleet import ShardMap
     from ..model.request import Request
@@ -83,6 +85,8 @@
 
     Attributes
     ----------
+    services : ServiceStates
+        State of each service.
     histograms : Histograms
         Time from arrival to answer, by service, caller and priority.
     stopping : bool
@@ -101,21 +105,17 @@
         route_exchange: Callable[[Exchange], str | None],
         withdraw_exchange: Callable[[str, int, str], None],
     ) -> None:
-        self._zone = zone
         self._timers = timers
-        self._random = random
         self._catalogue = catalogue
         self._claimer = claimer
-        self._quarantine = quarantine
+        self._proof_gate = ProofGate(quarantine)
         self._mover = mover
         self._route_exchange = route_exchange
         self._withdraw_exchange = withdraw_exchange
-        self._exchange_ids = count(1)
         self._claim_ids = count(1)
-        self._states: dict[str, ServiceState] = {}
         self._jobs: dict[str, Job] = {}
         self._pending: dict[int, PendingExchange] = {}
-        self._waiting_for_proof: dict[str, list[Job]] = {}
+        self.services = ServiceStates(zone, random, catalogue, mover)
         self.histograms = Histograms()
         self.stopping = False
 
@@ -166,34 +166,9 @@
                     pending.exchange, Fate.MAY_HAVE_RUN, Reason.PEER_LOST
                 )
 
-    def state(self, service: str) -> ServiceState | None:
-        """Return the state of a service, created on first use; None if unknown."""
-        record = self._catalogue.service(service)
-        if record is None:
-            return None
-        profile = self._catalogue.profile(record.profile)
-        if profile is None:
-            return None
-        state = self._states.get(service)
-        if state is None:
-            state = ServiceState(profile, self._zone, self._exchange_ids, self._random)
-            self._states[service] = state
-        state.profile = profile
-        return state
-
-    def catalogue_changed(self) -> None:
-        """Apply the current zones, profiles and servers of the catalogue."""
-        zones_out = self._catalogue.zones_out()
-        for record in self._catalogue.services():
-            state = self.state(record.name)
-            if state is not None:
-                state.placer.zones_out = zones_out
-                servers = {s.name for v in record.versions for s in v.servers}
-                state.fleet.retain_only(servers)
-
     def _claim(self, job: Job, key: str) -> None:
         request = job.request
-        state = self.state(request.service)
+        state = self.services.state(request.service)
         if state is None:
             self._refuse(job, ResultCode.UNKNOWN_SERVICE)
             return
@@ -243,8 +218,8 @@
 
     def _start(self, job: Job, fallback: Answer | None = None) -> None:
         request = job.request
-        state = self.state(request.service)
-        shard_map = self._pick_shard_map(request)
+        state = self.services.state(request.service)
+        shard_map = self.services.pick_shard_map(request.service, self._timers.now_ms())
         if state is None or shard_map is None:
             self._refuse(job, ResultCode.NO_SNAPSHOT)
             return
@@ -255,68 +230,35 @@
 
     def _run_on(self, job: Job, state: ServiceState, shard_map: ShardMap) -> None:
         """Run a request on the snapshot of `shard_map`."""
+        version = shard_map.snapshot.version
+        admission = self._proof_gate.admit(
+            job, version, state.profile.proving_servers, self._timers.now_ms()
+        )
+        match admission:
+            case Quarantined():
+                self._refuse(job, ResultCode.QUARANTINED)
+            case Admitted(max_servers):
+                self._run_admitted(job, state, shard_map, max_servers)
+            case WaitsForProof():
+                pass
+
+    def _run_admitted(
+        self, job: Job, state: ServiceState, shard_map: ShardMap, max_servers: int
+    ) -> None:
         request = job.request
-        proving_limit = self._proving_limit(job, state, shard_map)
-        if proving_limit is None:
-            return
         shards = self._shards(request, shard_map)
         run = QueryRun(
             request,
             shard_map,
             shards,
             state,
-            proving_limit,
+            max_servers,
             job.started_ms,
             job.restarts,
         )
         job.run = run
         self._execute(job, run, run.start(self._timers.now_ms()))
 
-    def _pick_shard_map(self, request: Request) -> ShardMap | None:
-        """Return the map to pin; the old version's if the new lacks capacity."""
-        service = request.service
-        version = self._mover.pick_version(service)
-        shard_map = self._catalogue.shard_map(service, version)
-        old_version = self._mover.old_version(service)
-        state = self.state(service)
-        if (
-            shard_map is None
-            or state is None
-            or old_version is None
-            or old_version == version
-        ):
-            return shard_map
-        if state.has_capacity(shard_map, self._timers.now_ms()):
-            return shard_map
-        return self._catalogue.shard_map(service, old_version)
-
-    def _proving_limit(
-        self, job: Job, state: ServiceState, shard_map: ShardMap
-    ) -> int | None:
-        """Return how many servers the request may be sent to until it is proven.
-
-        0 means no limit. None if the job was refused, or if it now waits until
-        another job with the same fingerprint is proven or has finished.
-        """
-        fingerprint = job.request.fingerprint
-        strikes_left = self._quarantine.strikes_until_quarantine(
-            fingerprint, self._timers.now_ms()
-        )
-        if strikes_left == 0:
-            self._refuse(job, ResultCode.QUARANTINED)
-            return None
-        version = shard_map.snapshot.version
-        proven = self._quarantine.is_proven(fingerprint, version)
-        if proven or state.profile.proving_servers == 0:
-            return 0
-        waiting = self._waiting_for_proof.get(fingerprint)
-        if waiting is not None and not job.proving:
-            waiting.append(job)
-            return None
-        self._waiting_for_proof.setdefault(fingerprint, [])
-        job.proving = True
-        return min(strikes_left, state.profile.proving_servers)
-
     @staticmethod
     def _shards(request: Request, shard_map: ShardMap) -> tuple[int, ...]:
         if request.shard_key is not None:
@@ -332,16 +274,12 @@
         self._mover.observe(exchange, reply, zone, elapsed_ms)
         if reply.fate is not Fate.ANSWERED:
             return
-        version = exchange.version
-        self._quarantine.mark_proven(exchange.fingerprint, version)
+        self._proof_gate.mark_proven(exchange.fingerprint, exchange.version)
         self._release_waiting(job)
 
     def _release_waiting(self, job: Job) -> None:
         """Start the requests that waited until this one is proven or has finished."""
-        if not job.proving:
-            return
-        job.proving = False
-        for waiting in self._waiting_for_proof.pop(job.request.fingerprint, []):
+        for waiting in self._proof_gate.release(job):
             self._timers.call_soon(partial(self._start, waiting))
 
     def _execute(self, job: Job, run: QueryRun, actions: list[RunAction]) -> None:
@@ -372,7 +310,7 @@
         old_version = self._mover.old_version(service)
         if old_version is None or answer.code not in RERUN_CODES or job.restarts:
             return False
-        state = self.state(service)
+        state = self.services.state(service)
         shard_map = self._catalogue.shard_map(service, old_version)
         if state is None or shard_map is None or answer.coverage is None:
             return False
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -292,7 +292,7 @@
             listed = self.catalogue.members()
             self.membership.apply_listing(listed, self._timers.now_ms())
         self.mover.catalogue_changed()
-        self.entry.catalogue_changed()
+        self.entry.services.catalogue_changed()
         servers: dict[str, BackendServer] = {}
         profiles: dict[str, Profile] = {}
         for record in self.catalogue.services():
