Confirm a late change soon, so that a healthy relay's state does not count as too old

Change: the next wait is shortened by the age, so a confirmation is due in time; for leafs, which change often, the delay is not counted. Test: store_watch.feature; with the full wait it fails.

--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -43,6 +43,7 @@
 # On top of a watch's wait, until the call times out: an unresponsive connection shows
 # by that alone.
 WATCH_TIMEOUT_SLACK_MS = 600.0
+MIN_WATCH_WAIT_MS = 200
 # Changes of leafs come in bursts; a pause lets the next call return several of them.
 LEAF_WATCH_PAUSE_MS = 250.0
 MS_PER_S = 1000.0
@@ -243,8 +244,9 @@
     ) -> None:
         url = f"{self._base}/{kind_path(kind)}"
         end: WatchEvent | None = None
+        wait_ms = self._watch_wait_ms
         while end is None:
-            query = {"watch": str(version), "wait_ms": str(self._watch_wait_ms)}
+            query = {"watch": str(version), "wait_ms": str(wait_ms)}
             called_ms = self._timers.now_ms()
             try:
                 polled = await self._poll(kind, url, query)
@@ -254,22 +256,33 @@
             except MALFORMED_INPUT_ERRORS as error:
                 end = Failed(f"malformed event: {error}")
             else:
-                age_ms = self._state_age_ms(polled, called_ms)
+                age_ms = self._state_age_ms(kind, polled, called_ms, wait_ms)
                 end, version = self._notify(polled, version, age_ms, on_event)
+                # Without a change the next response is due when this state would be
+                # as old as a watch without changes lets it become.
+                left_ms = self._watch_wait_ms - int(age_ms)
+                wait_ms = max(min(MIN_WATCH_WAIT_MS, self._watch_wait_ms), left_ms)
                 if kind is Kind.LEAF and isinstance(polled, Changes) and polled.events:
                     await asyncio.sleep(LEAF_WATCH_PAUSE_MS / MS_PER_S)
         on_event(end)
 
     def _state_age_ms(
-        self, polled: Changes | Expired | Failed, called_ms: float
+        self,
+        kind: Kind,
+        polled: Changes | Expired | Failed,
+        called_ms: float,
+        wait_ms: int,
     ) -> float:
         """Return how long ago the store may have made this response.
 
-        Without a change it makes one only after the wait.
+        Without a change it makes one only after the wait. One with changes may have
+        been delayed since the call. For leafs that isn't counted: they change
+        so often that the next response comes soon anyway.
         """
         took_ms = self._timers.now_ms() - called_ms
-        unchanged = isinstance(polled, Changes) and not polled.events
-        return max(0.0, took_ms - self._watch_wait_ms) if unchanged else took_ms
+        if not isinstance(polled, Changes) or not polled.events:
+            return max(0.0, took_ms - wait_ms)
+        return 0.0 if kind is Kind.LEAF else took_ms
 
     async def _poll(
         self, kind: Kind, url: str, query: dict[str, str]
--- /dev/null
+++ b/tests/platform/store_watch.feature
@@ -0,0 +1,14 @@
+Feature: A watch of the store tells how old the known state may be
+
+  # After a change that came late in a watch's wait, the state counted as too old before the
+  # next confirmation was due, and all daemons of a zone turned to the store.
+  Scenario: A change that came late in the wait is confirmed before the state is too old
+    Given a store that reports a change of a configuration 900 ms after it is watched
+    When it is watched with a wait of 1000 ms for 2500 ms
+    Then the state was never older than 1600 ms
+    And there were at most 6 calls
+
+  Scenario: Changes of leafs cost no further calls
+    Given a store that reports a change of a leaf 900 ms after it is watched
+    When it is watched with a wait of 1000 ms for 2500 ms
+    Then there were at most 5 calls
--- /dev/null
+++ b/tests/steps/store_watch_steps.py
@@ -0,0 +1,70 @@
+"""Steps on the ages that a watch of the store reports, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from aiohttp import web
+from behave import given, then, when
+from odd_entry_steps import GOOD_ENTRY, STORE_VERSION, event, use_store
+
+from snipemount.ports.platform import Confirmed, Kind
+
+KINDS = {"configuration": Kind.CONFIGURATION, "leaf": Kind.LEAF}
+
+
+@attrs.define
+class SlowChangeStore:
+    """Answers the first watch with a late change, the others after their wait."""
+
+    change_after_s: float
+    calls: int = 0
+
+    async def respond(self, request):
+        """Return the response to a watch."""
+        self.calls += 1
+        events = ""
+        if self.calls == 1:
+            await asyncio.sleep(self.change_after_s)
+            events = event(GOOD_ENTRY)
+        else:
+            await asyncio.sleep(float(request.query["wait_ms"]) / 1000.0)
+        text = f'{{"events": [{events}], "store_revision": {STORE_VERSION}}}'
+        return web.Response(text=text, content_type="application/json")
+
+
+@given("a store that reports a change of a {kind} {after_ms:g} ms after it is watched")
+def step_store(context, kind, after_ms):
+    context.kind = KINDS[kind]
+    context.raw_store = SlowChangeStore(after_ms / 1000.0)
+
+
+@when("it is watched with a wait of {wait_ms:g} ms for {span_ms:g} ms")
+def step_watch(context, wait_ms, span_ms):
+    async def use(client):
+        loop = asyncio.get_running_loop()
+        current_at_s = loop.time()
+        context.ages_ms = []
+
+        def on_event(happened):
+            nonlocal current_at_s
+            if isinstance(happened, Confirmed):
+                now_s = loop.time()
+                context.ages_ms.append((now_s - current_at_s) * 1000.0)
+                current_at_s = now_s - happened.age_ms / 1000.0
+
+        client.watch(context.kind, STORE_VERSION, on_event)
+        await asyncio.sleep(span_ms / 1000.0)
+
+    asyncio.run(use_store(context, use, wait_ms))
+
+
+@then("the state was never older than {most_ms:g} ms")
+def step_age(context, most_ms):
+    assert context.ages_ms and max(context.ages_ms) <= most_ms, context.ages_ms
+
+
+@then("there were at most {most:d} calls")
+def step_calls(context, most):
+    assert 2 <= context.raw_store.calls <= most, context.raw_store.calls
