Begin watches of orders late where another daemon may be followed soon

Change: the watch of orders, which change rarely, begins up to 700 ms late while the state is younger than nine tenths of its maximum age; it then waits the shorter the older the state is, so that it is confirmed in time. Test: store_feed.feature, a daemon that soon follows another one does not watch orders itself; it fails without the delay (2 watches, not 1).

--- a/src/snipemount/decisions/state_age.py
+++ b/src/snipemount/decisions/state_age.py
@@ -10,6 +10,8 @@
 WATCH_WAIT_SHARE = 0.6
 MAX_AGE_SHARE = 0.8
 MAX_AGE_MS = 4000.0
+LAZY_WATCH_SHARE = 0.9  # of the maximum age, up to which a watch may be delayed
+MAX_WATCH_DELAY_MS = 700.0  # for another daemon to be found and followed
 # A watch that has reported nothing for so long after its wait is not alive.
 WATCH_SILENCE_MS = 1000.0
 
@@ -37,6 +39,20 @@
             min(MAX_AGE_MS, MAX_AGE_SHARE * bound_ms),
         )
 
+    def watch_delay_ms(self, age_ms: float) -> float:
+        """Return when to begin the watch of a kind that changes rarely.
+
+        Until then another daemon may be found to follow, which saves the call. A state
+        that is nearly too old is watched at once.
+
+        Parameters
+        ----------
+        age_ms : float
+            Age of the known state.
+        """
+        left_ms = LAZY_WATCH_SHARE * self.max_age_ms - age_ms
+        return max(0.0, min(MAX_WATCH_DELAY_MS, left_ms))
+
     @property
     def max_silence_ms(self) -> float:
         """Time without any report after which a watch is started anew."""
--- a/src/snipemount/experiments/fake_platform.py
+++ b/src/snipemount/experiments/fake_platform.py
@@ -20,6 +20,7 @@
 PLATFORM_LATENCY_MS = 2.0
 PLATFORM_TIMEOUT_MS = 1000.0
 WATCH_CONFIRMATION_PERIOD_MS = 3000.0
+MIN_CONFIRMATION_MS = 200.0
 STALE_COPY_PERIOD_MS = 50.0
 
 
@@ -159,7 +160,11 @@
         self._call(write_and_reply, done)
 
     def watch(
-        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+        self,
+        kind: Kind,
+        version: int,
+        on_event: Callable[[WatchEvent], None],
+        state_age_ms: float = 0.0,
     ) -> Watch:
         """Report each change after `version` until cancelled.
 
@@ -193,10 +198,13 @@
             self._timers.call_later(PLATFORM_LATENCY_MS, lambda: on_event(event))
             return Watch(lambda: None)
         confirmations = self._timers.call_every(WATCH_CONFIRMATION_PERIOD_MS, confirm)
+        first_ms = WATCH_CONFIRMATION_PERIOD_MS - state_age_ms
+        first = self._timers.call_later(max(MIN_CONFIRMATION_MS, first_ms), confirm)
         for entry in missed:
             forward(entry)
 
         def stop() -> None:
+            first.cancel()
             confirmations.cancel()
             self._store.unsubscribe(subscription)
 
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -132,10 +132,15 @@
         self._spawn(self._run_call(self._put(kind, "PUT", url, body), done))
 
     def watch(
-        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+        self,
+        kind: Kind,
+        version: int,
+        on_event: Callable[[WatchEvent], None],
+        state_age_ms: float = 0.0,
     ) -> Watch:
         """Report each change after `version`; `Expired` or `Failed` ends the watch."""
-        task = self._spawn(self._watch(kind, version, on_event))
+        wait_ms = self._wait_for_age_ms(state_age_ms)
+        task = self._spawn(self._watch(kind, version, on_event, wait_ms))
         return Watch(lambda: self._stop(task))
 
     async def close(self) -> None:
@@ -240,11 +245,14 @@
             return Written(read_object(kind, await response.read()))
 
     async def _watch(
-        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+        self,
+        kind: Kind,
+        version: int,
+        on_event: Callable[[WatchEvent], None],
+        wait_ms: int,
     ) -> None:
         url = f"{self._base}/{kind_path(kind)}"
         end: WatchEvent | None = None
-        wait_ms = self._watch_wait_ms
         while end is None:
             query = {"watch": str(version), "wait_ms": str(wait_ms)}
             called_ms = self._timers.now_ms()
@@ -258,14 +266,21 @@
             else:
                 age_ms = self._state_age_ms(kind, polled, called_ms, wait_ms)
                 end, version = self._notify(polled, version, age_ms, on_event)
-                # Without a change the next response is due when this state would be
-                # as old as a watch without changes lets it become.
-                left_ms = self._watch_wait_ms - int(age_ms)
-                wait_ms = max(min(MIN_WATCH_WAIT_MS, self._watch_wait_ms), left_ms)
+                wait_ms = self._wait_for_age_ms(age_ms)
                 if kind is Kind.LEAF and isinstance(polled, Changes) and polled.events:
                     await asyncio.sleep(LEAF_WATCH_PAUSE_MS / MS_PER_S)
         on_event(end)
 
+    def _wait_for_age_ms(self, state_age_ms: float) -> int:
+        """Return how long a watch waits that begins with a state of this age.
+
+        Without a change its response is due when the state is as old as a watch without
+        changes lets it become.
+        """
+        least_ms = min(MIN_WATCH_WAIT_MS, self._watch_wait_ms)
+        left_ms = self._watch_wait_ms - min(state_age_ms, self._watch_wait_ms)
+        return max(least_ms, int(left_ms))
+
     def _state_age_ms(
         self,
         kind: Kind,
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -228,11 +228,26 @@
 
     @abstractmethod
     def watch(
-        self, kind: Kind, version: int, on_event: Callable[[WatchEvent], None]
+        self,
+        kind: Kind,
+        version: int,
+        on_event: Callable[[WatchEvent], None],
+        state_age_ms: float = 0.0,
     ) -> Watch:
         """Report each change of a kind that is later than `version`.
 
         An `Expired` or `Failed` event is the last one of the watch.
+
+        Parameters
+        ----------
+        kind : Kind
+            Kind to watch.
+        version : int
+            Version up to which its changes are known.
+        on_event : Callable
+            Called with each event.
+        state_age_ms : float
+            Age of the known state; the older it is, the sooner it is confirmed.
         """
 
 
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -77,6 +77,8 @@
         Called with each update that came from the store itself, to relay it.
     logger : FilteringBoundLogger
         Receives the versions of the listings applied.
+    watch_delay_ms : Callable
+        Returns how long a watch of the store is delayed for a state of an age.
 
     Attributes
     ----------
@@ -98,7 +100,9 @@
         random: Random,
         on_update: Callable[[RelayMessage], None],
         logger: FilteringBoundLogger,
+        watch_delay_ms: Callable[[float], float],
     ) -> None:
+        self._watch_delay_ms = watch_delay_ms
         self._platform = platform
         self.kind = kind
         self._subscriber = subscriber
@@ -129,7 +133,7 @@
         if self.version == 0:
             self._list()
         else:
-            self._watch()
+            self._begin_watch()
 
     def follow_relay(self) -> None:
         """Stop following the store; updates come from a relay through `apply`."""
@@ -232,11 +236,19 @@
                 self._update(RelayListing(self.kind, version, objects))
                 self._update(RelayConfirmation(self.kind, version, took_ms))
                 self._backoff_ms = FIRST_BACKOFF_MS
-                self._watch()
+                self._begin_watch()
             case Failed(detail):
                 self._update(RelayStoreLost(detail))
                 self._retry_later(self._list)
 
+    def _begin_watch(self) -> None:
+        self._reported_ms = self._timers.now_ms()
+        delay_ms = self._watch_delay_ms(self.age_ms)
+        if delay_ms > 0.0:
+            self._timer = self._timers.call_later(delay_ms, self._watch)
+        else:
+            self._watch()
+
     def _watch(self) -> None:
         epoch = self._epoch
         self._reported_ms = self._timers.now_ms()
@@ -245,7 +257,9 @@
             if epoch == self._epoch:
                 self._on_event(event)
 
-        self._active_watch = self._platform.watch(self.kind, self.version, on_event)
+        self._active_watch = self._platform.watch(
+            self.kind, self.version, on_event, self.age_ms
+        )
 
     def _on_event(self, event: WatchEvent) -> None:
         self._reported_ms = self._timers.now_ms()
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -46,6 +46,7 @@
     from .kind_feed import Subscriber
     from .store_subscribers import StoreDecoders
 
+RARELY_CHANGING = (Kind.ZONE_ORDER, Kind.VERSION_ORDER)
 CHECK_PERIOD_MS = 250.0
 EVIDENCE_PERIOD_MS = 100.0
 KEEPALIVE_PERIOD_MS = 500.0
@@ -60,6 +61,10 @@
 CATCH_UP_DELAY_MS = 3500.0
 
 
+def _no_delay_ms(age_ms: float) -> float:
+    return 0.0
+
+
 class StoreFeed:
     """Keeps gateway and directory up to date, and the daemons that follow this one.
 
@@ -143,6 +148,7 @@
                 random,
                 self._publish,
                 logger,
+                age_limits.watch_delay_ms if kind in RARELY_CHANGING else _no_delay_ms,
             )
             for kind, subscriber in subscribers.items()
         }
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -8,6 +8,17 @@
     Then all daemons have version 7 in force
     And 8 watches are open at the store
 
+  # Each daemon that lost the one it followed watched all kinds for a moment.
+  Scenario: A daemon that soon follows another one does not watch orders itself
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the watches of the store are counted from now on
+    And the daemon that zone-a follows is killed
+    And 1.5 s pass for them
+    Then at most 4 watches were opened for each kind that changes often, and 1 for others
+    When 5 s pass for them
+    Then 8 watches are open at the store
+
   Scenario: The daemon that is followed is killed
     Given 6 daemons in 2 zones, fed by one store
     When 5 s pass for them
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from random import Random
 
 import attrs
@@ -133,6 +134,38 @@
     context.fed[0].platform.cut_off = True
 
 
+@when("the watches of the store are counted from now on")
+def step_count_watches(context):
+    context.watched = Counter()
+    subscribe = context.store.subscribe
+
+    def count(kind, on_entry):
+        context.watched[kind] += 1
+        return subscribe(kind, on_entry)
+
+    context.store.subscribe = count
+
+
+@when("the daemon that {zone} follows is killed")
+def step_kill_followed(context, zone):
+    in_zone = [daemon for daemon in context.fed if daemon.address.zone == zone]
+    (followed,) = [daemon for daemon in in_zone if daemon.feed._followed is None]
+    followed.relay.kill()
+    followed.platform.cut_off = True
+    for kind in followed.feed._kinds.values():
+        kind.follow_relay()
+
+
+@then(
+    "at most {often:d} watches were opened for each kind that changes often, and "
+    "{rarely:d} for others"
+)
+def step_watched(context, often, rarely):
+    for kind, count in context.watched.items():
+        most = rarely if kind in (Kind.ZONE_ORDER, Kind.VERSION_ORDER) else often
+        assert count <= most, context.watched
+
+
 @when("the store refuses the calls of the first daemon of zone-a")
 def step_store_refuses(context):
     context.fed[0].platform.cut_off = True
