Log only long rests of leafs

Cause: a leaf that sheds load may state a short Retry-After hundreds of times a second. Change: a line from 500 ms on. Result: linters clean.

--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -36,6 +36,7 @@
 
 RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 60_000.0
+MIN_LOGGED_REST_MS = 500.0  # a leaf that sheds load may state less many times a second
 
 
 def _no_stated_load(service: str) -> float:
@@ -248,6 +249,8 @@
 
     def _note_rest(self, state: LeafState, rest_ms: float) -> None:
         state.statements.rest(self.timers.now_ms() + rest_ms)
+        if rest_ms < MIN_LOGGED_REST_MS:
+            return
         self.logger.info(
             "leaf_rests",
             leaf=state.leaf.leaf_id,
