Tell followers that the store is lost only when the retry fails too

Change: the first failure is retried after 150 ms as before; followers learn of the second. The age of the state still bounds how long they stay. Test: store_feed.feature; it fails when they learn of the first.

--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -34,6 +34,7 @@
 FIRST_BACKOFF_MS = 150.0
 MAX_BACKOFF_MS = 700.0
 JITTER_RATIO = 0.4
+FAILURES_UNTIL_LOST = 2
 
 
 class Subscriber(Protocol):
@@ -116,6 +117,7 @@
         self.current_at_ms = -math.inf
         self._reported_ms = -math.inf
         self._backoff_ms = FIRST_BACKOFF_MS
+        self._failures = 0
         self._active_watch: Watch | None = None
         self._timer: Timer | None = None
         self._epoch = 0
@@ -235,10 +237,10 @@
             case Listed(objects, version):
                 self._update(RelayListing(self.kind, version, objects))
                 self._update(RelayConfirmation(self.kind, version, took_ms))
-                self._backoff_ms = FIRST_BACKOFF_MS
+                self._on_responded()
                 self._begin_watch()
             case Failed(detail):
-                self._update(RelayStoreLost(detail))
+                self._on_failed(detail)
                 self._retry_later(self._list)
 
     def _begin_watch(self) -> None:
@@ -269,14 +271,29 @@
             case Deleted(kind, name, _):
                 self._update(RelayRemoval(kind, name))
             case Confirmed(version, age_ms):
-                self._backoff_ms = FIRST_BACKOFF_MS
+                self._on_responded()
                 self._update(RelayConfirmation(self.kind, version, age_ms))
             case Expired():
                 self._retry_later(self._list)
             case Failed(detail):
-                self._update(RelayStoreLost(detail))
+                self._on_failed(detail)
                 self._retry_later(self._watch)
 
+    def _on_responded(self) -> None:
+        self._backoff_ms = FIRST_BACKOFF_MS
+        self._failures = 0
+
+    def _on_failed(self, reason: str) -> None:
+        """Record a failure; followers learn of it if the retry fails too.
+
+        Each of them would call the store itself; one failed call is soon made up for.
+        """
+        lost = RelayStoreLost(reason)
+        self.apply(lost)
+        self._failures += 1
+        if self._failures >= FAILURES_UNTIL_LOST:
+            self._on_update(lost)
+
     def _retry_later(self, retry: Callable[[], None]) -> None:
         delay_ms = self._backoff_ms * (1.0 + JITTER_RATIO * self._random.random())
         self._backoff_ms = min(MAX_BACKOFF_MS, 2.0 * self._backoff_ms)
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -8,6 +8,14 @@
     Then all daemons have version 7 in force
     And 8 watches are open at the store
 
+  Scenario: Followers stay when one call of the daemon that they follow fails
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the watches of the store are counted from now on
+    And one watch of the daemon that zone-a follows fails
+    And 2 s pass for them
+    Then 1 watch was opened
+
   # Each daemon that lost the one it followed watched all kinds for a moment.
   Scenario: A daemon that soon follows another one does not watch orders itself
     Given 6 daemons in 2 zones, fed by one store
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -19,7 +19,7 @@
     PlatformFaults,
     StaleReads,
 )
-from snipemount.ports.platform import Kind
+from snipemount.ports.platform import Failed, Kind
 from snipemount.ports.relay import DaemonAddress
 from snipemount.serving.store_feed import StoreFeed
 from snipemount.standins.local_relay import LocalRelayNetwork
@@ -146,10 +146,28 @@
     context.store.subscribe = count
 
 
-@when("the daemon that {zone} follows is killed")
-def step_kill_followed(context, zone):
+def followed_in(context, zone):
+    """Return the daemon that the others of a zone follow."""
     in_zone = [daemon for daemon in context.fed if daemon.address.zone == zone]
     (followed,) = [daemon for daemon in in_zone if daemon.feed._followed is None]
+    return followed
+
+
+@when("one watch of the daemon that {zone} follows fails")
+def step_watch_fails(context, zone):
+    feed = followed_in(context, zone).feed._kinds[Kind.LEAF]
+    feed._active_watch.cancel()
+    feed._on_event(Failed("the connection was reset"))
+
+
+@then("1 watch was opened")
+def step_one_watch(context):
+    assert context.watched == {Kind.LEAF: 1}, context.watched
+
+
+@when("the daemon that {zone} follows is killed")
+def step_kill_followed(context, zone):
+    followed = followed_in(context, zone)
     followed.relay.kill()
     followed.platform.cut_off = True
     for kind in followed.feed._kinds.values():
@@ -252,8 +270,7 @@
     "and no errors from the store"
 )
 def step_no_orders(context, zone):
-    in_zone = [daemon for daemon in context.fed if daemon.address.zone == zone]
-    (context.stuck,) = [daemon for daemon in in_zone if daemon.feed._followed is None]
+    context.stuck = followed_in(context, zone)
     feed = context.stuck.feed._kinds[Kind.ZONE_ORDER]
     feed._epoch += 1
     if feed._timer is not None:
