Tests: end the connections of a stopped server

Cause: pending tasks of aiohttp were printed when the loop closed. Change: the scenario ends its connections. Result: stopping.feature green.

--- a/tests/steps/stopping_steps.py
+++ b/tests/steps/stopping_steps.py
@@ -120,6 +120,7 @@
 def step_stop(context, end_ms, period_ms):
     """Stop with requests that come on connections of their own until the end."""
     context.transports = []
+    protocols = []
 
     async def stop():
         timers = LoopTimers(asyncio.get_running_loop())
@@ -136,6 +137,7 @@
             protocol = server()
             transport = MemoryTransport()
             protocol.connection_made(transport)
+            protocols.append(protocol)
             context.transports.append((timers.now_ms(), transport))
             protocol.data_received(
                 f"POST /log/{number} HTTP/1.1\r\nHost: {HOST}\r\n"
@@ -147,6 +149,9 @@
         logger = context.serving.serving_context.logger
         await stop_serving(server, lambda: None, timers, times, logger)
         arrivals.cancel()
+        for protocol in protocols:
+            protocol.connection_lost(None)
+        await timers.sleep(5.0)
 
     context.loop.run_until_complete(stop())
 
