Give up a watch with a short wait as soon as its own wait is over

Cause: a watch that was asked to answer within 0.2 s was given 3.6 s before its connection counted as unresponsive; with a state already 2.9 s old that passes the limit of 4 s. Found by reading. Change: a watch's timeout is its own wait and 600 ms. Test: store_watch.feature; with the longest wait it fails.

--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -85,12 +85,8 @@
         self._timers = timers
         self._watch_wait_ms = int(watch_wait_ms)
         self._base = settings.url.rstrip("/") + OBJECTS_PATH
-        seconds = settings.call_timeout_ms / MS_PER_S
-        self._timeout = aiohttp.ClientTimeout(total=seconds)
-        watch_seconds = (watch_wait_ms + WATCH_TIMEOUT_SLACK_MS) / MS_PER_S
-        self._watch_timeout = aiohttp.ClientTimeout(
-            total=watch_seconds, sock_connect=seconds
-        )
+        self._call_timeout_s = settings.call_timeout_ms / MS_PER_S
+        self._timeout = aiohttp.ClientTimeout(total=self._call_timeout_s)
         self._session: aiohttp.ClientSession | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -254,10 +250,9 @@
         url = f"{self._base}/{kind_path(kind)}"
         end: WatchEvent | None = None
         while end is None:
-            query = {"watch": str(version), "wait_ms": str(wait_ms)}
             called_ms = self._timers.now_ms()
             try:
-                polled = await self._poll(kind, url, query)
+                polled = await self._poll(kind, url, version, wait_ms)
             except CALL_ERRORS as error:
                 self._metrics.store_call("watch", type(error).__name__)
                 end = Failed(type(error).__name__)
@@ -300,11 +295,14 @@
         return 0.0 if kind is Kind.LEAF else took_ms
 
     async def _poll(
-        self, kind: Kind, url: str, query: dict[str, str]
+        self, kind: Kind, url: str, version: int, wait_ms: int
     ) -> Changes | Expired | Failed:
-        async with self._client().get(
-            url, params=query, timeout=self._watch_timeout
-        ) as response:
+        query = {"watch": str(version), "wait_ms": str(wait_ms)}
+        timeout = aiohttp.ClientTimeout(
+            total=(wait_ms + WATCH_TIMEOUT_SLACK_MS) / MS_PER_S,
+            sock_connect=self._call_timeout_s,
+        )
+        async with self._client().get(url, params=query, timeout=timeout) as response:
             self._count("watch", response)
             if response.status == 410:
                 return Expired()
--- a/tests/platform/store_watch.feature
+++ b/tests/platform/store_watch.feature
@@ -12,3 +12,9 @@
     Given a store that reports a change of a leaf 900 ms after it is watched
     When it is watched with a wait of 1000 ms for 2500 ms
     Then there were at most 5 calls
+
+  # A silent connection showed only after the longest wait, whatever the call had asked for.
+  Scenario: A watch with a short wait is given up soon when it gets no response
+    Given a store that never answers a watch
+    When it is watched from a state 900 ms old with a wait of 1000 ms
+    Then the watch has failed after 700 to 1400 ms
--- a/tests/steps/store_watch_steps.py
+++ b/tests/steps/store_watch_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from odd_entry_steps import GOOD_ENTRY, STORE_VERSION, event, use_store
 
-from snipemount.ports.platform import Confirmed, Kind
+from snipemount.ports.platform import Confirmed, Failed, Kind
 
 KINDS = {"configuration": Kind.CONFIGURATION, "leaf": Kind.LEAF}
 
@@ -60,6 +60,39 @@
     asyncio.run(use_store(context, use, wait_ms))
 
 
+class SilentStore:
+    """Answers no watch."""
+
+    async def respond(self, request):
+        """Wait until the client has given up."""
+        await asyncio.sleep(2.0)
+        return web.Response(status=503)
+
+
+@given("a store that never answers a watch")
+def step_silent(context):
+    context.raw_store = SilentStore()
+
+
+@when("it is watched from a state {age_ms:g} ms old with a wait of {wait_ms:g} ms")
+def step_watch_old(context, age_ms, wait_ms):
+    async def use(client):
+        loop = asyncio.get_running_loop()
+        failed = loop.create_future()
+        started_s = loop.time()
+        client.watch(Kind.LEAF, STORE_VERSION, failed.set_result, age_ms)
+        context.ended_by = await asyncio.wait_for(failed, 5.0)
+        context.failed_after_ms = (loop.time() - started_s) * 1000.0
+
+    asyncio.run(use_store(context, use, wait_ms))
+
+
+@then("the watch has failed after {least_ms:g} to {most_ms:g} ms")
+def step_failed_after(context, least_ms, most_ms):
+    assert isinstance(context.ended_by, Failed), context.ended_by
+    assert least_ms <= context.failed_after_ms <= most_ms, context.failed_after_ms
+
+
 @then("the state was never older than {most_ms:g} ms")
 def step_age(context, most_ms):
     assert context.ages_ms and max(context.ages_ms) <= most_ms, context.ages_ms
