--- a/tests/steps/stopping_steps.py
+++ b/tests/steps/stopping_steps.py
@@ -6,11 +6,11 @@
 
 from behave import given, then, when
 from serving_world import HOST, SHARDS, ServingWorld
+from virtual_loop import VirtualLoopTimers, VirtualTimeLoop
 
 from snipemount.platform.caller_server import IDLE_CHECK_PERIOD_MS, CallerServer
 from snipemount.platform.graceful_stop import StopTimes, stop_serving
 from snipemount.standins.scripted_leafs import ScriptedAttempt, ScriptedLeafs
-from snipemount.timers import LoopTimers
 
 HEAD = f"HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: abc\r\nX-Deadline-Ms: 900\r\n\r\n"
 REQUEST = (
@@ -43,16 +43,16 @@
         """Do nothing: scenarios check only what was written."""
 
 
-@given("a caller interface over scripted leafs in real time")
+@given("a caller interface over scripted leafs")
 def step_interface(context):
-    context.loop = asyncio.new_event_loop()
+    context.loop = VirtualTimeLoop()
     context.closers = [*getattr(context, "closers", []), context.loop.close]
     context.transport = MemoryTransport()
 
 
 async def serve(context, before_read, request=REQUEST):
     """Start a caller server, feed it a request and wait until it is idle."""
-    timers = LoopTimers(asyncio.get_running_loop())
+    timers = VirtualLoopTimers(asyncio.get_running_loop())
     context.serving = ServingWorld(timers=timers)
     context.serving.start()
     server = CallerServer(context.serving.gateway)
@@ -123,7 +123,7 @@
     protocols = []
 
     async def stop():
-        timers = LoopTimers(asyncio.get_running_loop())
+        timers = VirtualLoopTimers(asyncio.get_running_loop())
         context.serving = ServingWorld(timers=timers)
         context.serving.start()
         for number in range(4):
@@ -147,8 +147,8 @@
         arrivals = timers.call_every(period_ms, arrive)
         times = StopTimes(250.0, 300.0, end_ms)
         logger = context.serving.serving_context.logger
-        await stop_serving(server, lambda: None, timers, times, logger)
-        arrivals.cancel()
+        # No request arrives any more once nothing listens.
+        await stop_serving(server, arrivals.cancel, timers, times, logger)
         for protocol in protocols:
             protocol.connection_lost(None)
         await timers.sleep(5.0)
@@ -219,7 +219,7 @@
 @when("the caller of a query leaves just before its last leg is answered")
 def step_leaves(context):
     async def leave():
-        timers = LoopTimers(asyncio.get_running_loop())
+        timers = VirtualLoopTimers(asyncio.get_running_loop())
         leafs = HeldLeafs(timers)
         context.serving = ServingWorld(timers=timers, leafs=leafs)
         context.serving.start()
