Show in story what leafs stated before a refusal

Cause: leaf_limit, leaf_rests and leaf_leaving were logged, but story left them out, so it did not show why a request was not sent to such a leaf. Change: they are context events. Test: story.feature; it fails without them.

--- a/src/snipemount/queries/story.py
+++ b/src/snipemount/queries/story.py
@@ -28,6 +28,9 @@
         "version_ordered",
         "leaf_draining",
         "leaf_gone",
+        "leaf_leaving",
+        "leaf_limit",
+        "leaf_rests",
         "relay_lost",
         "relay_followed",
     }
--- a/tests/queries/story.feature
+++ b/tests/queries/story.feature
@@ -8,3 +8,9 @@
 
   Scenario: The parser returns a field as it was logged
     Then a field with spaces and brackets is parsed as it was logged
+
+  # A request that was not sent to a limited or leaving leaf had no line that said why.
+  Scenario: What leafs stated about themselves precedes a refusal
+    Given a log in which leafs state a limit, a rest and that they leave before request abc123 is refused
+    When the log lines on request abc1 are collected
+    Then the limit, the rest and the leaving leaf precede the refusal
--- a/tests/steps/story_steps.py
+++ b/tests/steps/story_steps.py
@@ -50,3 +50,23 @@
     fields = parse_line(stream.getvalue())
     assert fields["unanswered"] == "a[x:1ms,y:2ms] b[z]"
     assert fields["deadline_ms"] == "1.5"
+
+
+@given(
+    "a log in which leafs state a limit, a rest and that they leave before request "
+    "abc123 is refused"
+)
+def step_statements_log(context):
+    stream = io.StringIO()
+    logger = make_logger("info", "daemon-1", stream)
+    logger.info("leaf_limit", leaf="leaf-1", service="shard0", per_s=2.0)
+    logger.info("leaf_rests", leaf="leaf-2", service="shard0", rest_ms=900)
+    logger.info("leaf_leaving", leaf="leaf-3", service="shard0")
+    logger.info("request_ended", request="abc123", result="refused:leaf_limits")
+    context.log = stream.getvalue()
+
+
+@then("the limit, the rest and the leaving leaf precede the refusal")
+def step_statements_precede(context):
+    events = [parse_line(line).get("event") for line in context.timeline.lines]
+    assert events == ["leaf_limit", "leaf_rests", "leaf_leaving", "request_ended"]
