Refuse odd entries of the registry; survive unexpected errors

Cause: an entry with a port out of range made the task of a relay or of a link to a coordinator end by a ValueError that nobody awaited, so the daemon followed nobody and the link never opened again. A capacity of 1e300 made its daemon the only coordinator. A periodic timer whose callback raised once was never called again. Change: every field of an entry is checked; both clients report their end after any error and log it; a periodic call goes on; errors that no caller awaits are logged.

--- a/src/snipemount/adapters/delegation_websocket.py
+++ b/src/snipemount/adapters/delegation_websocket.py
@@ -159,6 +159,10 @@
             self._logger.warning(
                 "delegation_malformed", coordinator=daemon.name, reason=error.detail
             )
+        except Exception as error:
+            self._logger.error(
+                "delegation_failed", coordinator=daemon.name, reason=repr(error)
+            )
         link.connection = None
         on_end()
 
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -167,6 +167,10 @@
             self._logger.warning(
                 "relay_malformed", daemon_followed=daemon.name, reason=error.detail
             )
+        except Exception as error:
+            self._logger.error(
+                "relay_failed", daemon_followed=daemon.name, reason=repr(error)
+            )
         if self._receive_task is asyncio.current_task():
             self._followed_connection = None
             on_end()
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
@@ -175,6 +175,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        self._loop.set_exception_handler(self._on_unexpected_error)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signal_number, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -206,6 +207,16 @@
         await self._stopping.wait()
         await self._stop(listener)
 
+    def _on_unexpected_error(
+        self, loop: asyncio.AbstractEventLoop, details: dict[str, Any]
+    ) -> None:
+        """Log an error that no caller awaits; the daemon goes on."""
+        self.logger.error(
+            "unexpected_error",
+            message=details.get("message"),
+            error=repr(details.get("exception")),
+        )
+
     def _relay_snapshot(self) -> list[RelayMessage]:
         return self._store_feed.snapshot()
 
--- a/src/snipemount/serving/registration.py
+++ b/src/snipemount/serving/registration.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from ipaddress import ip_address
+from typing import TYPE_CHECKING, Any
 
+from ..errors import MALFORMED_INPUT_ERRORS
 from ..ports.platform import Conflicted, Failed, Found, Kind, Missing, Written
 from ..ports.relay import DaemonAddress
 
@@ -14,6 +17,8 @@
     from ..timers import TimerService
 
 REGISTRY_PERIOD_MS = 10_000.0  # of listings, and of attempts to register
+MAX_PORT = 65535
+MAX_LEGS_PER_S = 1_000_000.0  # beyond any VM's; the largest one decides who coordinates
 
 
 class Registration:
@@ -86,16 +91,43 @@
 def registered_daemon(stored: StoredObject) -> DaemonAddress | None:
     """Return the daemon of an entry, or None if fields are missing or malformed.
 
-    An entry of an earlier build states neither a port for queries nor a capacity.
+    Another writer may have left the entry, so every field is checked. An entry of an
+    earlier build states neither a port for queries nor a capacity; 0 means the same.
     """
     spec = stored.spec
-    zone, host, port = (spec.get(key) for key in ("zone", "host", "port"))
-    if not (isinstance(zone, str) and isinstance(host, str) and isinstance(port, int)):
+    try:
+        return DaemonAddress(
+            stored.name,
+            _zone(spec["zone"]),
+            str(ip_address(spec["host"])),
+            _port(spec["port"]),
+            _port(spec.get("query_port", 0), least=0),
+            _capacity(spec.get("legs_per_s", 0.0)),
+        )
+    except MALFORMED_INPUT_ERRORS:
         return None
-    query_port, legs_per_s = spec.get("query_port"), spec.get("legs_per_s")
-    if not isinstance(query_port, int) or not isinstance(legs_per_s, int | float):
-        return DaemonAddress(stored.name, zone, host, port)
-    return DaemonAddress(stored.name, zone, host, port, query_port, float(legs_per_s))
+
+
+def _zone(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"zone {value!r} is not a non-empty string")
+    return value
+
+
+def _port(value: Any, least: int = 1) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"port {value!r} is not an integer")
+    if not least <= value <= MAX_PORT:
+        raise ValueError(f"port {value} is not between {least} and {MAX_PORT}")
+    return value
+
+
+def _capacity(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"capacity {value!r} is not a number")
+    if math.isnan(value) or not 0.0 <= value <= MAX_LEGS_PER_S:
+        raise ValueError(f"capacity {value} is not between 0 and {MAX_LEGS_PER_S:.0f}")
+    return float(value)
 
 
 __all__ = [
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -157,6 +157,7 @@
         self._evidence = LeafEvidence(context)
         self._followed_since_ms = 0.0
         self._candidates: list[DaemonAddress] = []
+        self._unreadable_names: set[str] = set()  # each is logged once
 
     def start(self, first_start: bool) -> None:
         """Register, find a daemon to follow, and follow the store if there is none.
@@ -235,10 +236,7 @@
     def _on_daemons_listed(self, result: ListResult) -> None:
         match result:
             case Listed(objects, _):
-                addresses = (registered_daemon(stored) for stored in objects)
-                self._daemons = tuple(
-                    daemon for daemon in addresses if daemon is not None
-                )
+                self._daemons = self._read_daemons(objects)
                 self._context.add_daemons(self._daemons)
                 self._on_daemons(self._daemons)
                 self._candidates = relay_candidates(self._daemons, self._own)
@@ -254,6 +252,19 @@
             wait_ms = FOLLOW_DELAY_MS if self._candidates else 0.0
             timers.call_later(wait_ms, self._follow_next_unless_following)
 
+    def _read_daemons(
+        self, objects: tuple[StoredObject, ...]
+    ) -> tuple[DaemonAddress, ...]:
+        daemons = []
+        for stored in objects:
+            daemon = registered_daemon(stored)
+            if daemon is not None:
+                daemons.append(daemon)
+            elif stored.name not in self._unreadable_names:
+                self._unreadable_names.add(stored.name)
+                self._logger.warning("daemon_entry_unreadable", name=stored.name)
+        return tuple(daemons)
+
     @property
     def _has_unlisted_kind(self) -> bool:
         return any(kind.version == 0 for kind in self._kinds.values())
--- a/src/snipemount/timers.py
+++ b/src/snipemount/timers.py
@@ -64,7 +64,8 @@
         """Call `callback` every `period_ms` milliseconds until cancelled.
 
         The first call comes after one period. A period begins when the call before
-        it has returned, so that late calls are not made up for.
+        it has returned, so that late calls are not made up for. An error of one call
+        does not end the calls.
 
         Returns
         -------
@@ -76,8 +77,10 @@
         def tick() -> None:
             if periodic._callback is None:
                 return
-            callback()
-            self.call_later(period_ms, tick)
+            try:
+                callback()
+            finally:
+                self.call_later(period_ms, tick)
 
         self.call_later(period_ms, tick)
         return periodic
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -57,3 +57,39 @@
   Scenario: A relayed frame with a number too large is malformed
     Then a relayed confirmation of version 1e999 is refused
     And a relayed listing whose object has a revision of 1e999 is refused
+
+  # An address that no connection can be opened to ended the follower's task, and a
+  # capacity beyond any VM's made its daemon the only coordinator.
+  Scenario Outline: An odd entry in the registry is no daemon
+    Then an entry of the registry whose <field> is <value> is no daemon
+    And the same entry without odd fields is one
+
+    Examples:
+      | field      | value            |
+      | port       | 70000            |
+      | port       | 0                |
+      | port       | true             |
+      | host       | "hoßt x"         |
+      | host       | "store.example"  |
+      | zone       | ""               |
+      | query_port | 70000            |
+      | query_port | true             |
+      | legs_per_s | 1e999            |
+      | legs_per_s | -1e999           |
+      | legs_per_s | NaN              |
+      | legs_per_s | -5               |
+      | legs_per_s | 1e300            |
+      | legs_per_s | true             |
+      | legs_per_s | "9"              |
+
+  # The task of the connection ended, and its daemon followed nobody any more.
+  Scenario Outline: A connection between daemons that fails unexpectedly ends in order
+    When a daemon <connects> and <fault>
+    Then the connection has ended once, with a log line
+
+    Examples:
+      | connects    | fault                              |
+      | follows     | the port is 70000                  |
+      | delegates   | the port is 70000                  |
+      | follows     | handling a message raises an error |
+      | delegates   | handling a message raises an error |
