Treat a zone whose leafs all refuse connections as cut off

A refused connection and a reset counted as a response of the zone, so no daemon logged zone_cut_off, the daemons of the cut zone stayed ready for the whole 5.5 s and 79 queries ended 502 there, though other zones' daemons could have served their callers. Ruled out: late readiness checks (no 503 at all), the balancer (never asked to move). Change: refused connections are evidence of a cut once 100 ms have passed since the first one without any response of the zone; resets are no evidence; a probe counts only when accepted, and four leafs are probed at a time as some may have crashed. A refusal of an isolated daemon states when the balancer's second failed check is due. Shown: isolation.feature, two of three scenarios failed before (the third guards daemons with little load); readiness_checks.feature.

--- a/src/snipemount/decisions/leaf_choice.py
+++ b/src/snipemount/decisions/leaf_choice.py
@@ -104,9 +104,9 @@
         other_zone = state.leaf.zone != self._zone
         return OTHER_ZONE_COST * other_zone + self._tie_break(state.leaf.leaf_id)
 
-    def random_leaf(self, states: Sequence[LeafState]) -> LeafState:
-        """Return a random leaf, so that successive probes go to different ones."""
-        return self._random.choice(states)
+    def random_leafs(self, states: Sequence[LeafState], count: int) -> list[LeafState]:
+        """Return random leafs, so that successive probes go to different ones."""
+        return self._random.sample(states, min(count, len(states)))
 
     def cost(self, state: LeafState, expected_ms: float, now_ms: float) -> float:
         """Return the expected latency in multiples of the typical latency."""
--- a/src/snipemount/decisions/zone_reachability.py
+++ b/src/snipemount/decisions/zone_reachability.py
@@ -3,10 +3,15 @@
 A zone counts as cut off when several of its leafs don't respond and none of them has
 responded meanwhile. One leaf isn't enough, since it may just be slow or paused. What
 another daemon of the own zone finds counts too, until a probe of this one is answered.
+
+A network that is cut may drop packets or refuse connections. A refusal comes at once,
+also from a leaf that has crashed, so it counts only after a time in which other leafs
+of the zone would have responded.
 """
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
@@ -18,6 +23,7 @@
 MIN_UNRESPONSIVE_LEAFS = 4
 MIN_MS_WITHOUT_RESPONSE = 250.0
 UNRESPONSIVE_AFTER_MS = 60.0
+MIN_MS_REFUSED = 100.0  # since the first refused connection without a response
 PROBE_PERIOD_MS = 400.0
 
 
@@ -31,12 +37,15 @@
         Time of the last response.
     unresponsive : set of str
         Ids of the leafs that have been found unresponsive since then.
+    refused_ms : float
+        Time of the first connection that was refused since then; inf before one.
     probed_ms : float
         Time of the last probe.
     """
 
     responded_ms: float
     unresponsive: set[str] = attrs.field(factory=set)
+    refused_ms: float = math.inf
     probed_ms: float = 0.0
 
 
@@ -61,6 +70,7 @@
         evidence = self._zones[zone]
         evidence.responded_ms = now_ms
         evidence.unresponsive.clear()
+        evidence.refused_ms = math.inf
         if zone not in self._cut_off:
             return False
         self._cut_off.discard(zone)
@@ -80,6 +90,16 @@
         evidence.probed_ms = now_ms
         return True
 
+    def note_refused(self, zone: str, leaf_id: str, now_ms: float) -> bool:
+        """Record a refused connection; return whether the zone has become cut off."""
+        evidence = self._zones[zone]
+        evidence.refused_ms = min(evidence.refused_ms, now_ms)
+        if now_ms - evidence.refused_ms >= MIN_MS_REFUSED:
+            return self.note_unresponsive(zone, leaf_id, now_ms)
+        if zone != self._own_zone:
+            evidence.unresponsive.add(leaf_id)
+        return False
+
     def note_reported(self, zone: str, now_ms: float) -> bool:
         """Record that a daemon of the own zone does not reach a zone.
 
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -22,6 +22,7 @@
 from .decisions.extra_attempts import ExtraAttemptLimit
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
+from .decisions.readiness_checks import ReadinessChecks
 from .decisions.state_age import StateAgeLimits
 from .decisions.vm_capacity import legs_per_s, max_running_legs
 from .decisions.zone_reachability import ZoneReachability
@@ -86,6 +87,7 @@
         self._log_writer = BoundedWriter(sys.stdout.fileno())
         self.logger = make_logger("info", settings.name, self._log_writer)
         self._metrics = PrometheusMetrics()
+        self._readiness_checks = ReadinessChecks()
         self._leaf_client = LeafClient(self._timers, self._connection_limit)
         self._context = ServingContext(
             self._timers,
@@ -100,6 +102,7 @@
             settings.name,
             cold_requests_per_s=self._cold_requests_per_s,
             is_shard=lambda service: service in self.gateway.shards,
+            ms_until_moved=self._ms_until_moved,
         )
         own = _own_address(settings)
         self._coordinators = CoordinatorLinks(
@@ -224,7 +227,14 @@
         self._store_feed.on_follower_message(message)
 
     async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.ready else 503)
+        ready = self.ready
+        self._readiness_checks.note(ready, self._timers.now_ms())
+        return web.Response(status=200 if ready else 503)
+
+    def _ms_until_moved(self) -> float:
+        if not self.gateway.is_isolated:
+            return 0.0
+        return self._readiness_checks.ms_until_moved(self._timers.now_ms())
 
     async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
         if request.path != METRICS_PATH:
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -134,7 +134,8 @@
     def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
         """Open a connection and keep it for later requests.
 
-        `done` gets whether the leaf's VM responded, by accepting or by refusing.
+        `done` gets whether the connection was accepted: a network that is cut may
+        refuse it.
         """
         self._spawn(self._probe(leaf, done))
 
@@ -142,8 +143,8 @@
         pool = self._pools[leaf.host, leaf.port]
         try:
             connection = await self._connect(pool, leaf)
-        except (OSError, TimeoutError) as error:
-            done(_not_run_reason(error) is NotRunReason.CONNECTION_REFUSED)
+        except (OSError, TimeoutError):
+            done(False)
             return
         self.connections_opened += 1
         self._release(pool, connection)
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -86,7 +86,7 @@
 
     @abstractmethod
     def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
-        """Open a connection; `done` is called with whether the leaf's VM responded."""
+        """Open a connection; `done` is called with whether it was accepted."""
 
     @abstractmethod
     def ensure_connection(self, leaf: Leaf) -> bool:
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -36,6 +36,7 @@
 
 RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 60_000.0
+LEAFS_PER_PROBE = 4
 MIN_LOGGED_REST_MS = 500.0  # a leaf that sheds load may state less many times a second
 
 
@@ -47,6 +48,10 @@
     return False
 
 
+def _no_wait() -> float:
+    return 0.0
+
+
 def _ignore() -> None:
     """Do nothing."""
 
@@ -86,6 +91,9 @@
         Returns whether a configured query asks a service as one of its shards.
     on_zones_changed : Callable
         Called when a zone has become cut off, or reachable again.
+    ms_until_moved : Callable
+        Returns after how many milliseconds new callers reach other daemons, as this one
+        is not ready; 0 while it is.
 
     Attributes
     ----------
@@ -117,6 +125,7 @@
     cold_requests_per_s: Callable[[str], float] = attrs.field(default=_no_stated_load)
     is_shard: Callable[[str], bool] = attrs.field(default=_no_shard)
     on_zones_changed: Callable[[], None] = attrs.field(default=_ignore)
+    ms_until_moved: Callable[[], float] = attrs.field(default=_no_wait)
     lag: LoopLag = attrs.field(factory=LoopLag)
     timings: dict[str, RouteTiming] = attrs.field(factory=dict)
     budgets: dict[str, ExtraAttemptBudget] = attrs.field(factory=dict)
@@ -192,7 +201,8 @@
     ) -> RequestRefused:
         """Return the refusal of a request that no leaf has run.
 
-        It states when enough leafs take requests again, as far as they have said so.
+        It states when enough leafs take requests again, as far as they have said so, or
+        when the balancer has moved the caller to another daemon.
 
         Parameters
         ----------
@@ -209,7 +219,9 @@
         needed = max(1, math.ceil(min_share * len(waits_ms)))
         wait_ms = waits_ms[needed - 1]
         must_wait = 0.0 < wait_ms < math.inf
-        retry_after_ms = max(RETRY_AFTER_MS, wait_ms) if must_wait else RETRY_AFTER_MS
+        retry_after_ms = max(RETRY_AFTER_MS, wait_ms if must_wait else 0.0)
+        if self.reachability.cut_off_zones():
+            retry_after_ms = max(retry_after_ms, self.ms_until_moved())
         if attempted:
             reason = RefusalReason.ALL_REFUSED
         else:
@@ -224,11 +236,19 @@
 
     def note_unresponsive(self, leaf: Leaf) -> None:
         """Record that a leaf gave no response; logs when its zone is now cut off."""
-        if self.reachability.note_unresponsive(
-            leaf.zone, leaf.leaf_id, self.timers.now_ms()
-        ):
-            self.logger.warning("zone_cut_off", zone=leaf.zone)
-            self.on_zones_changed()
+        now_ms = self.timers.now_ms()
+        if self.reachability.note_unresponsive(leaf.zone, leaf.leaf_id, now_ms):
+            self._on_zone_cut_off(leaf.zone)
+
+    def note_refused_connection(self, leaf: Leaf) -> None:
+        """Record a refused connection; logs when the leaf's zone is now cut off."""
+        now_ms = self.timers.now_ms()
+        if self.reachability.note_refused(leaf.zone, leaf.leaf_id, now_ms):
+            self._on_zone_cut_off(leaf.zone)
+
+    def _on_zone_cut_off(self, zone: str) -> None:
+        self.logger.warning("zone_cut_off", zone=zone)
+        self.on_zones_changed()
 
     def note_zone_reported(self, zone: str, reported_by: str) -> None:
         """Record that a daemon of the own zone finds a zone cut off."""
@@ -259,11 +279,14 @@
         )
 
     def probe_zones(self) -> None:
-        """Probe one leaf of each cut-off zone whose probe is due."""
+        """Probe some leafs of each cut-off zone whose probes are due.
+
+        A few at a time, as some of them may have crashed.
+        """
         for zone in self.reachability.due_probes(self.timers.now_ms()):
             states = [s for s in self.directory.all_states() if s.leaf.zone == zone]
-            if states:
-                self._probe(self.choice.random_leaf(states).leaf)
+            for state in self.choice.random_leafs(states, LEAFS_PER_PROBE):
+                self._probe(state.leaf)
 
     def _probe(self, leaf: Leaf) -> None:
         def done(responded: bool) -> None:
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS
-from ..model.forwarding import LeafAnswer, NotRun, NotRunReason, NoValidResponse
+from ..model.forwarding import (
+    LeafAnswer,
+    NotRun,
+    NotRunReason,
+    NoValidResponse,
+    NoValidResponseReason,
+)
 from .attempt_records import AttemptRecords
 from .pending_attempt import PendingAttempt
 
@@ -14,17 +20,13 @@
 
     from ..decisions.leaf_state import LeafState
     from ..model.configuration import Route
-    from ..model.forwarding import ForwardRequest
+    from ..model.forwarding import AttemptOutcome, ForwardRequest
     from ..ports.leaf import AttemptReport
     from .context import ServingContext
 
 FIRST_SERVER_ERROR = 500
 UNRESPONSIVE_LATENCY_RATIO = 3.0
 HEDGE_BUDGET_SHARE = 0.8  # hedges leave the rest of the budget to retries
-NO_RESPONSE_OUTCOMES = (
-    NotRun(NotRunReason.UNREACHABLE),
-    NotRun(NotRunReason.NO_CONNECTION),
-)
 NOT_ARRIVED_REASONS = (
     NotRunReason.UNREACHABLE,
     NotRunReason.CONNECTION_REFUSED,
@@ -269,7 +271,7 @@
         self._pending.remove(attempt)
         now_ms = self._context.timers.now_ms()
         self._record_attempt(attempt, report, now_ms)
-        if report.outcome not in NO_RESPONSE_OUTCOMES:
+        if _is_response(report.outcome):
             self._context.note_response(attempt.state.leaf)
         if report.load is not None:
             attempt.state.load_reported(report.load, now_ms)
@@ -317,6 +319,7 @@
                 self._context.note_unresponsive(attempt.state.leaf)
             case NotRunReason.CONNECTION_REFUSED:
                 attempt.state.lost(attempt.number, True, now_ms)
+                self._context.note_refused_connection(attempt.state.leaf)
             case NotRunReason.NO_CONNECTION:
                 attempt.state.refused(attempt.number, now_ms)
             case NotRunReason.REFUSED:
@@ -385,4 +388,18 @@
             self._budget_taken -= unused
 
 
+def _is_response(outcome: AttemptOutcome) -> bool:
+    """Return whether an outcome shows that the leaf's zone can be reached.
+
+    A network that is cut may refuse connections and reset those that are open.
+    """
+    match outcome:
+        case NotRun(reason):
+            return reason not in NOT_ARRIVED_REASONS
+        case NoValidResponse(reason):
+            return reason is not NoValidResponseReason.CONNECTION_CLOSED
+        case LeafAnswer():
+            return True
+
+
 __all__ = ["ServiceCall"]
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -44,6 +44,8 @@
         Whether the leaf is unresponsive: requests and probes get no response.
     unreachable : bool
         Whether no connection to the leaf can be opened.
+    refuses_connections : bool
+        Whether connections to the leaf are refused.
     closes_connection : bool
         Whether the connection is closed without a response after a request was
         executed.
@@ -66,6 +68,7 @@
     paused_until_ms: float = 0.0
     unresponsive: bool = False
     unreachable: bool = False
+    refuses_connections: bool = False
     closes_connection: bool = False
     refuses: bool = False
     address_reused: bool = False
@@ -126,6 +129,9 @@
         if script.unreachable:
             report = AttemptReport(NotRun(NotRunReason.UNREACHABLE))
             return self._report_later(1.0, leaf, done, report)
+        if script.refuses_connections:
+            report = AttemptReport(NotRun(NotRunReason.CONNECTION_REFUSED))
+            return self._report_later(1.0, leaf, done, report)
         self.arrivals.append((now_ms, leaf.leaf_id, request.request_id))
         if script.refuses or script.address_reused:
             return self._report_later(1.0, leaf, done, self._refusal(script))
@@ -141,7 +147,9 @@
         """Call `done` with whether the leaf responds."""
         script = self.scripts[leaf.leaf_id]
         self.probes += 1
-        alive = not (script.unreachable or script.unresponsive)
+        alive = not (
+            script.unreachable or script.unresponsive or script.refuses_connections
+        )
         self._timers.call_later(1.0, lambda: done(alive))
 
     def ensure_connection(self, leaf: Leaf) -> bool:
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -18,9 +18,7 @@
 from snipemount.decisions.leaf_choice import LeafChoice
 from snipemount.decisions.leaf_state import LeafState
 from snipemount.model.configuration import ToAllShards
-from snipemount.model.forwarding import (
-    Merged,
-)
+from snipemount.model.forwarding import Merged, RequestRefused
 from snipemount.serving.service_call import HEDGE_BUDGET_SHARE
 
 
@@ -60,6 +58,56 @@
         script.unresponsive = False
 
 
+@given("a balancer that moves callers {wait_ms:g} ms from now")
+def step_balancer(context, wait_ms):
+    context.serving.serving_context.ms_until_moved = lambda: wait_ms
+
+
+@then("it is refused at once, to be asked again in {wait_ms:g} ms")
+def step_refused_until(context, wait_ms):
+    outcome = context.serving.samples[-1].outcome
+    assert isinstance(outcome, RequestRefused), outcome
+    assert outcome.retry_after_ms == wait_ms, outcome
+
+
+@when("the leafs of {zone} refuse connections")
+def step_zone_refuses_connections(context, zone):
+    for script in zone_scripts(context, zone):
+        script.refuses_connections = True
+
+
+@when("{count:d} leafs of {zone} refuse connections")
+def step_some_refuse_connections(context, count, zone):
+    for script in zone_scripts(context, zone)[:count]:
+        script.refuses_connections = True
+
+
+@when("the leafs of {zone} accept connections again")
+def step_zone_accepts(context, zone):
+    for script in zone_scripts(context, zone):
+        script.refuses_connections = False
+
+
+@when("1 leaf of {zone} accepts connections again")
+def step_one_accepts(context, zone):
+    zone_scripts(context, zone)[0].refuses_connections = False
+
+
+def events(context, name):
+    """Return the log lines of an event."""
+    return [line for line in context.serving.lines if line["event"] == name]
+
+
+@then("no log line reports a zone that is cut off")
+def step_no_cut_line(context):
+    assert not events(context, "zone_cut_off")
+
+
+@then("a log line reports that {zone} is reachable again")
+def step_reached_line(context, zone):
+    assert zone in [line["zone"] for line in events(context, "zone_reached")]
+
+
 @then("the daemon is isolated")
 def step_isolated(context):
     assert context.serving.gateway.is_isolated
