Abort connections between daemons at the end of a stop

Cause: a stop that serves until its end keeps 0.5 s to close everything. The closing handshake with a followed daemon that does not respond takes up to 0.6 s, those with followers and daemons that delegate 10 s; links to coordinators were not closed at all. Change: the stop aborts these connections; all work has ended before.

--- a/src/snipemount/adapters/daemon_websockets.py
+++ b/src/snipemount/adapters/daemon_websockets.py
@@ -61,4 +61,20 @@
     )
 
 
-__all__ = ["connect_to_daemon", "listen_for_daemons"]
+def close_at_once(server: Server) -> None:
+    """Close a listener and abort its connections.
+
+    A closing handshake with a daemon that does not respond would outlast the grace
+    period of a planned stop.
+
+    Parameters
+    ----------
+    server : Server
+        Listener of `listen_for_daemons`.
+    """
+    for connection in server.connections:
+        connection.transport.abort()
+    server.close()
+
+
+__all__ = ["close_at_once", "connect_to_daemon", "listen_for_daemons"]
--- a/src/snipemount/adapters/delegation_websocket.py
+++ b/src/snipemount/adapters/delegation_websocket.py
@@ -10,7 +10,11 @@
 
 from ..errors import DecodeError
 from ..ports.delegation import DelegationLink, DelegationPort
-from .daemon_websockets import connect_to_daemon, listen_for_daemons
+from .daemon_websockets import (
+    close_at_once,
+    connect_to_daemon,
+    listen_for_daemons,
+)
 from .delegation_codec import decode_delegation, encode_delegation
 
 if TYPE_CHECKING:
@@ -90,7 +94,7 @@
     async def close(self) -> None:
         """Close the listener and its connections."""
         if self._server is not None:
-            self._server.close(close_connections=True)
+            close_at_once(self._server)
 
     async def _serve_link(self, connection: ServerConnection) -> None:
         link = WebsocketDelegationLink()
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -10,7 +10,11 @@
 
 from ..errors import DecodeError
 from ..ports.relay import RelayPort
-from .daemon_websockets import connect_to_daemon, listen_for_daemons
+from .daemon_websockets import (
+    close_at_once,
+    connect_to_daemon,
+    listen_for_daemons,
+)
 from .relay_codec import decode_relay, encode_relay
 
 if TYPE_CHECKING:
@@ -94,6 +98,8 @@
         if self._receive_task is not None:
             self._receive_task.cancel()
             self._receive_task = None
+        if self._followed_connection is not None:
+            self._followed_connection.transport.abort()
             self._followed_connection = None
 
     def publish(self, message: RelayMessage) -> None:
@@ -120,7 +126,7 @@
         """Stop following and close the listener and the followers' connections."""
         self.unfollow()
         if self._server is not None:
-            self._server.close(close_connections=True)
+            close_at_once(self._server)
 
     async def _serve_follower(self, connection: ServerConnection) -> None:
         messages = self._snapshot()
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -347,6 +347,7 @@
             self.logger,
         )
         self._leaf_client.close()
+        self._coordinators.close()
         await self._relay.close()
         await self._delegation_server.close()
         await self._store.close()
--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
@@ -172,6 +173,11 @@
         self._drop()
         return True
 
+    def close(self) -> None:
+        """Close the connection for good; queries without an outcome are lost."""
+        self._drop()
+        self._reconnect_at_ms = math.inf
+
     def _connect(self) -> None:
         # Callbacks of an earlier connection find another link in place of theirs.
         def current() -> bool:
@@ -302,6 +308,13 @@
         self._daemons = daemons
         self._next_ranking_ms = 0.0
 
+    def close(self) -> None:
+        """Close all links, as the daemon ends."""
+        self._daemons = ()
+        self._next_ranking_ms = math.inf
+        for link in self._links.values():
+            link.close()
+
     @property
     def can_delegate(self) -> bool:
         """Whether a coordinator is connected."""
--- a/tests/adapters/relay.feature
+++ b/tests/adapters/relay.feature
@@ -28,3 +28,17 @@
     Then a confirmation of a state 1200 ms old is read as 1200 ms old
     And a confirmation of a build that states no age is read as current
     And a confirmation with an age of -1, nan or inf ms is refused
+
+  # The closing handshake with a daemon that was frozen took the rest of the grace period
+  # of a planned stop, and the process was killed.
+  Scenario Outline: A stop does not wait for daemons that do not respond
+    Given a daemon that <connects> another one, which freezes
+    When the daemon closes and its tasks are cancelled
+    Then all of its tasks have ended within 200 ms
+
+    Examples:
+      | connects                |
+      | follows                 |
+      | is followed by          |
+      | delegates to            |
+      | takes queries of        |
