Take the state of a restarted daemon from the one that its zone follows

Cause: a daemon restarted alone listed every kind from the store (9 to 12 calls on a grown site, more on a large one), watched it, and wrote and read its entry, though another daemon of its zone had all of it. Change: it lists the registry, which tells whether its entry is as it should be and whom to follow, and asks that daemon at once; if that one refuses or has sent nothing after 150 ms, it lists the store itself. A daemon always counts itself among those that share the limits. Shown: store_feed.feature; the call count failed before (list of 5 kinds, write, read, 4 watches; now 1 list of the registry). Restarts beside a frozen or killed daemon, and of all daemons at once, still serve within 0.2 s and 0.05 s.

--- a/src/snipemount/serving/registration.py
+++ b/src/snipemount/serving/registration.py
@@ -52,6 +52,23 @@
         """Create the entry; try again later if that fails."""
         self._write(None)
 
+    def update(self, registered: tuple[StoredObject, ...]) -> None:
+        """Write the entry unless a current listing of the registry holds it already.
+
+        An earlier process of this VM may have written it, maybe with another address.
+        """
+        for stored in registered:
+            if stored.name == self._own.name:
+                self._update_entry(stored)
+                return
+        self.register()
+
+    def _update_entry(self, stored: StoredObject) -> None:
+        if stored.spec == registry_spec(self._own):
+            self._logger.info("registered", name=self._own.name)
+        else:
+            self._write(stored.version)
+
     def _write(self, version: int | None) -> None:
         spec = registry_spec(self._own)
         self._platform.write(
@@ -71,8 +88,8 @@
 
     def _on_read(self, result: ReadResult) -> None:
         match result:
-            case Found(stored) if stored.spec != registry_spec(self._own):
-                self._write(stored.version)
+            case Found(stored):
+                self._update_entry(stored)
             case Missing() | Failed():
                 self._timers.call_later(REGISTRY_PERIOD_MS, self.register)
 
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -55,6 +55,8 @@
 FAILED_DISCOVERY_DELAY_MS = 2000.0
 FOLLOW_DELAY_MS = 500.0  # lets the daemon to follow list the store first
 NEXT_CANDIDATE_DELAY_MS = 300.0
+# For the daemon that a restarted one follows to hand over its state.
+RESTART_FOLLOW_LIMIT_MS = 150.0
 MAX_STATED_AGE_MS = 3_600_000.0  # of a state that was never confirmed, too
 FIRST_CONFIRMATIONS_MS = 500.0  # for the first state of each kind to arrive
 # Within this time a daemon that follows the store has called it again and caught up.
@@ -158,6 +160,7 @@
         self._followed_since_ms = 0.0
         self._candidates: list[DaemonAddress] = []
         self._unreadable_names: set[str] = set()  # each is logged once
+        self._asked_at_restart = False  # whether the first daemon asked has a state
 
     def start(self, first_start: bool) -> None:
         """Register, find a daemon to follow, and follow the store if there is none.
@@ -166,15 +169,17 @@
         ----------
         first_start : bool
             Whether the whole deployment starts. A daemon that is restarted alone
-            follows the store at once, so that it can serve again soon.
+            follows the one that its zone follows at once, so that it can serve again
+            soon, or else the store.
         """
-        self._registration.register()
         timers = self._context.timers
-        timers.call_later(
-            FIRST_DISCOVERY_DELAY_MS if first_start else 0.0, self._discover_first
-        )
-        if not first_start:
-            self._follow_store()
+        if first_start:
+            self._registration.register()
+            timers.call_later(
+                FIRST_DISCOVERY_DELAY_MS, lambda: self._discover(may_be_stale=False)
+            )
+        else:
+            self._platform.list_all(Kind.DAEMON, self._on_listed_at_restart)
         timers.call_every(CHECK_PERIOD_MS, self._leafs.remove_expired)
         timers.call_every(CHECK_PERIOD_MS, self._check_state_age)
         timers.call_every(EVIDENCE_PERIOD_MS, self._send_evidence)
@@ -227,17 +232,43 @@
         if self._followed is None:
             self._relay.publish(message)
 
-    def _discover_first(self) -> None:
-        self._platform.list_all(Kind.DAEMON, self._on_daemons_listed)
-
-    def _discover(self) -> None:
-        self._platform.list_all(Kind.DAEMON, self._on_daemons_listed, may_be_stale=True)
+    def _discover(self, may_be_stale: bool = True) -> None:
+        self._platform.list_all(Kind.DAEMON, self._on_daemons_listed, may_be_stale)
 
     def _on_daemons_listed(self, result: ListResult) -> None:
+        self._note_daemons(result)
+        if self._followed is None:
+            wait_ms = FOLLOW_DELAY_MS if self._candidates else 0.0
+            self._context.timers.call_later(wait_ms, self._follow_next_unless_following)
+
+    def _on_listed_at_restart(self, result: ListResult) -> None:
+        """Register, and take the state from another daemon or, failing that, the store.
+
+        When all daemons restart, none has a state: the first one asked refuses.
+        """
+        match result:
+            case Listed(objects, _):
+                self._registration.update(objects)
+            case Failed():
+                self._registration.register()
+        self._note_daemons(result)
+        timers = self._context.timers
+        if self._candidates and isinstance(result, Listed):
+            timers.call_later(RESTART_FOLLOW_LIMIT_MS, self._list_unlisted_kinds)
+            self._asked_at_restart = True
+        else:
+            self._follow_store()
+        self._follow_next_candidate()
+
+    def _list_unlisted_kinds(self) -> None:
+        if self._followed is None and self._has_unlisted_kind:
+            self._follow_store()
+
+    def _note_daemons(self, result: ListResult) -> None:
         match result:
             case Listed(objects, _):
                 self._daemons = self._read_daemons(objects)
-                self._context.add_daemons(self._daemons)
+                self._context.add_daemons((*self._daemons, self._own))
                 self._on_daemons(self._daemons)
                 self._candidates = relay_candidates(self._daemons, self._own)
                 period_ms = REGISTRY_PERIOD_MS
@@ -245,12 +276,8 @@
                 self._logger.warning("daemons_unknown", reason=detail)
                 self._candidates = list(self._seeds) if self._has_unlisted_kind else []
                 period_ms = FAILED_DISCOVERY_DELAY_MS
-        timers = self._context.timers
         delay_ms = period_ms * (1.0 + 0.2 * self._random.random())
-        timers.call_later(delay_ms, self._discover)
-        if self._followed is None:
-            wait_ms = FOLLOW_DELAY_MS if self._candidates else 0.0
-            timers.call_later(wait_ms, self._follow_next_unless_following)
+        self._context.timers.call_later(delay_ms, self._discover)
 
     def _read_daemons(
         self, objects: tuple[StoredObject, ...]
@@ -320,7 +347,7 @@
                 )
                 self._relay.unfollow()
                 self._return_to_store(daemon)
-                self._retry_candidates_later()
+                self._retry_candidates_later(CATCH_UP_DELAY_MS)
             case RelayListing(kind):
                 self._start_following(daemon)
                 self._kinds[kind].apply(message)
@@ -342,6 +369,7 @@
         if self._followed == daemon:
             return
         self._logger.info("relay_followed", daemon_followed=daemon.name)
+        self._asked_at_restart = False
         self._relay.publish(RelayStoreLost("follows another daemon"))
         self._followed = daemon
         self._followed_since_ms = self._context.timers.now_ms()
@@ -356,16 +384,21 @@
 
     def _on_relay_ended(self, daemon: DaemonAddress) -> None:
         self._return_to_store(daemon)
+        if self._asked_at_restart:
+            self._asked_at_restart = False
+            self._list_unlisted_kinds()
+            self._retry_candidates_later(FOLLOW_DELAY_MS)
+            return
         self._context.timers.call_later(
             NEXT_CANDIDATE_DELAY_MS, self._follow_next_unless_following
         )
 
-    def _retry_candidates_later(self) -> None:
+    def _retry_candidates_later(self, delay_ms: float) -> None:
         def retry() -> None:
             self._candidates = relay_candidates(self._daemons, self._own)
             self._follow_next_unless_following()
 
-        self._context.timers.call_later(CATCH_UP_DELAY_MS, retry)
+        self._context.timers.call_later(delay_ms, retry)
 
     def _follow_next_unless_following(self) -> None:
         if self._followed is None:
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -145,6 +145,52 @@
     And 0.05 s pass for them
     Then the new daemon counts 7 daemons
 
+  # Each restart listed everything from the store: most calls of a day with many of them.
+  Scenario: A daemon restarted alone takes its state from the one that its zone follows
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the calls of the store are counted from now on
+    And the last daemon is restarted
+    And 0.1 s pass for them
+    Then the new daemon has version 1 in force
+    And the store was called 1 time: "list daemons"
+    When 2 s pass for them
+    Then the store was called 1 time: "list daemons"
+
+  Scenario Outline: A daemon restarted alone serves soon though the one to follow is <state>
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the daemon that zone-b follows is <state>
+    And the entry of leaf-1 is marked as draining
+    And the operators write version 7
+    And the last daemon is restarted
+    And <within> s pass for them
+    Then the new daemon has version 7 in force
+    And it would not send a request to leaf-1
+
+    Examples:
+      | state             | within |
+      | frozen            | 0.2    |
+      | killed            | 0.05   |
+      | without the store | 0.2    |
+
+  # All VMs lost power: none had a state to hand over.
+  Scenario: Daemons that are all restarted serve at once
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And all daemons are restarted
+    And 0.05 s pass for them
+    Then all daemons have version 1 in force
+    When 12 s pass for them
+    Then 8 watches are open at the store
+
+  Scenario: A restarted daemon whose address has changed is registered with the new one
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the last daemon is restarted with another address
+    And 0.1 s pass for them
+    Then the registry holds the new address
+
   # Leafs of many shards turn slow, and each daemon alone asks each leaf too rarely to detect it.
   Scenario: Evidence of a slow leaf is shared among the daemons of a zone
     Given 6 daemons in 2 zones, fed by one store
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -58,11 +58,12 @@
     feed: StoreFeed
 
 
-def add_daemon(context, number, zone, seeds=(), first_start=True):
+def add_daemon(context, number, zone, seeds=(), first_start=True, host=""):
     """Start a daemon whose feed uses the shared store and relays."""
     world = ServingWorld(zone=zone, timers=context.timers)
     world.serving_context.limit_shares = LimitShares(world.serving_context.own_name)
-    address = DaemonAddress(f"daemon-{number}", zone, f"10.0.0.{number}", 1)
+    host = host or f"10.0.0.{number}"
+    address = DaemonAddress(f"daemon-{number}", zone, host, 1)
     platform = FakePlatform(context.store, context.timers, context.faults)
     feeds = []
     relay = context.relays.add(
@@ -340,6 +341,87 @@
     add_daemon(context, 9, zone, first_start=False)
 
 
+def restart(context, daemon, host=""):
+    """End a daemon's process and start a new one on the same VM."""
+    stop(daemon)
+    context.fed.remove(daemon)
+    number = int(daemon.address.name.rpartition("-")[2])
+    return add_daemon(context, number, daemon.address.zone, (), False, host)
+
+
+def stop(daemon):
+    """End a daemon's process: its connections end and it calls nobody any more."""
+    daemon.relay.kill()
+    daemon.platform.cut_off = True
+    for kind in daemon.feed._kinds.values():
+        kind.follow_relay()
+
+
+@when("the last daemon is restarted")
+def step_restart_last(context):
+    restart(context, context.fed[-1])
+
+
+@when("the last daemon is restarted with another address")
+def step_restart_elsewhere(context):
+    restart(context, context.fed[-1], "10.0.9.9")
+
+
+@when("all daemons are restarted")
+def step_restart_all(context):
+    for daemon in list(context.fed):
+        stop(daemon)
+    for daemon in list(context.fed):
+        restart(context, daemon)
+
+
+@when("the daemon that {zone} follows is frozen")
+def step_freeze_followed(context, zone):
+    followed = followed_in(context, zone)
+    followed.relay.frozen = True
+    followed.platform.cut_off = True
+
+
+@when("the daemon that {zone} follows is without the store")
+def step_followed_without_store(context, zone):
+    followed_in(context, zone).platform.cut_off = True
+
+
+@then("it would not send a request to {name}")
+def step_new_no_request(context, name):
+    assert not would_send(context.fed[-1], name)
+
+
+@then("the registry holds the new address")
+def step_new_address(context):
+    address = context.fed[-1].address
+    stored = context.store.list_all(Kind.DAEMON).objects
+    hosts = {entry.name: entry.spec["host"] for entry in stored}
+    assert hosts[address.name] == address.host == "10.0.9.9", hosts
+
+
+@when("the calls of the store are counted from now on")
+def step_count_calls(context):
+    context.store_calls = Counter()
+
+    def count(name):
+        call = getattr(context.store, name)
+
+        def counted(kind, *args):
+            context.store_calls[f"{name.partition('_')[0]} {kind.value}"] += 1
+            return call(kind, *args)
+
+        setattr(context.store, name, counted)
+
+    for name in ("list_all", "read", "write", "subscribe"):
+        count(name)
+
+
+@then('the store was called 1 time: "{call}"')
+def step_one_call(context, call):
+    assert context.store_calls == {call: 1}, context.store_calls
+
+
 @when("the first daemon of zone-a gets no more updates and no errors from the store")
 def step_no_updates(context):
     for kind in context.fed[0].feed._kinds.values():
