Follow another daemon only when it has offered its whole state; call a lost store rarely

While the store is away each of four kinds of each daemon retried. Change: an offer counts when all kinds are listed and none is outdated; a daemon without the store says so before its listings; after a loss the daemons that come before are asked first, two always and two in turn, and the store is called the later the more of them there are, within the bound on the age of the state; one kind calls for all while the store is in doubt; a daemon that is turned away asks those that come after it too.

--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from websockets.asyncio.server import broadcast
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from ..errors import DecodeError
+from ..model.relay import RelayStoreLost
 from ..ports.relay import RelayPort
 from .daemon_websockets import (
     close_at_once,
@@ -29,6 +31,7 @@
 
 RECEIVE_TIMEOUT_S = 1.5  # three missed `RelayHeartbeat` messages
 MAX_UNSENT_BYTES = 2**22  # per follower
+LEAVE_TIMEOUT_S = 0.05
 
 
 class WebsocketRelay(RelayPort):
@@ -130,6 +133,14 @@
 
     async def _serve_follower(self, connection: ServerConnection) -> None:
         messages = self._snapshot()
+        if messages and isinstance(messages[0], RelayStoreLost):
+            # A daemon that has a state of its own leaves now.
+            broadcast([connection], encode_relay(messages[0]))
+            if await _has_left(connection):
+                return
+            messages = self._snapshot()
+            if messages and isinstance(messages[0], RelayStoreLost):
+                messages.pop(0)
         if not messages:
             await connection.close(1013, "not following the store")
             return
@@ -182,4 +193,13 @@
             on_end()
 
 
+async def _has_left(connection: ServerConnection) -> bool:
+    """Return whether a follower closes its connection soon."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            await connection.wait_closed()
+            return True
+    return False
+
+
 __all__ = ["WebsocketRelay"]
--- a/src/snipemount/decisions/state_age.py
+++ b/src/snipemount/decisions/state_age.py
@@ -12,6 +12,9 @@
 MAX_AGE_MS = 4000.0
 LAZY_WATCH_SHARE = 0.9  # of the maximum age, up to which a watch may be delayed
 MAX_WATCH_DELAY_MS = 700.0  # for another daemon to be found and followed
+# For each daemon that comes before, until one that has lost its relay calls the store.
+STORE_DELAY_MS = 300.0
+MAX_STORE_DELAY_MS = 3000.0
 # A watch that has reported nothing for so long after its wait is not alive.
 WATCH_SILENCE_MS = 1000.0
 
@@ -53,6 +56,22 @@
         left_ms = LAZY_WATCH_SHARE * self.max_age_ms - age_ms
         return max(0.0, min(MAX_WATCH_DELAY_MS, left_ms))
 
+    def store_delay_ms(self, age_ms: float, preceding: int) -> float:
+        """Return when a daemon that has lost the one it followed calls the store.
+
+        All of a zone lose it at the same time, and mostly one of them replaces it soon.
+
+        Parameters
+        ----------
+        age_ms : float
+            Age of the oldest known state.
+        preceding : int
+            Number of daemons that call it before, and may be followed then.
+        """
+        left_ms = LAZY_WATCH_SHARE * self.max_age_ms - age_ms
+        delay_ms = min(MAX_STORE_DELAY_MS, STORE_DELAY_MS * preceding)
+        return max(0.0, min(delay_ms, left_ms))
+
     @property
     def max_silence_ms(self) -> float:
         """Time without any report after which a watch is started anew."""
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -30,9 +30,9 @@
         WatchEvent,
     )
     from ..timers import Timer, TimerService
+    from .store_retries import StoreRetries
 
 FIRST_BACKOFF_MS = 150.0
-MAX_BACKOFF_MS = 700.0
 JITTER_RATIO = 0.4
 FAILURES_UNTIL_LOST = 2
 
@@ -80,6 +80,8 @@
         Receives the versions of the listings applied.
     watch_delay_ms : Callable
         Returns how long a watch of the store is delayed for a state of an age.
+    retries : StoreRetries
+        Decides which of the daemon's kinds retries a failed call.
 
     Attributes
     ----------
@@ -102,7 +104,9 @@
         on_update: Callable[[RelayMessage], None],
         logger: FilteringBoundLogger,
         watch_delay_ms: Callable[[float], float],
+        retries: StoreRetries,
     ) -> None:
+        self._retries = retries
         self._watch_delay_ms = watch_delay_ms
         self._platform = platform
         self.kind = kind
@@ -134,6 +138,8 @@
         self._epoch += 1
         if self.version == 0:
             self._list()
+        elif self._retries.in_doubt:
+            self._call_in_turn(self._watch_again)
         else:
             self._begin_watch()
 
@@ -155,6 +161,7 @@
 
     def _stop(self) -> None:
         self._epoch += 1
+        self._retries.leave(self.kind)
         if self._active_watch is not None:
             self._active_watch.cancel()
             self._active_watch = None
@@ -241,7 +248,7 @@
                 self._begin_watch()
             case Failed(detail):
                 self._on_failed(detail)
-                self._retry_later(self._list)
+                self._retry_in_turn(self._list)
 
     def _begin_watch(self) -> None:
         self._reported_ms = self._timers.now_ms()
@@ -251,7 +258,11 @@
         else:
             self._watch()
 
-    def _watch(self) -> None:
+    def _watch_again(self) -> None:
+        """Watch after a failure; the store answers soon, which shows that it can."""
+        self._watch(math.inf)
+
+    def _watch(self, age_ms: float | None = None) -> None:
         epoch = self._epoch
         self._reported_ms = self._timers.now_ms()
 
@@ -260,7 +271,7 @@
                 self._on_event(event)
 
         self._active_watch = self._platform.watch(
-            self.kind, self.version, on_event, self.age_ms
+            self.kind, self.version, on_event, self.age_ms if age_ms is None else age_ms
         )
 
     def _on_event(self, event: WatchEvent) -> None:
@@ -277,11 +288,12 @@
                 self._retry_later(self._list)
             case Failed(detail):
                 self._on_failed(detail)
-                self._retry_later(self._watch)
+                self._retry_in_turn(self._watch_again)
 
     def _on_responded(self) -> None:
         self._backoff_ms = FIRST_BACKOFF_MS
         self._failures = 0
+        self._retries.answered()
 
     def _on_failed(self, reason: str) -> None:
         """Record a failure; followers learn of it if the retry fails too.
@@ -294,9 +306,28 @@
         if self._failures >= FAILURES_UNTIL_LOST:
             self._on_update(lost)
 
+    def _retry_in_turn(self, retry: Callable[[], None]) -> None:
+        """Retry a failed call after a pause, or wait while another kind does."""
+        self._call_in_turn(lambda: self._retry_later(retry))
+
+    def _call_in_turn(self, call: Callable[[], None]) -> None:
+        """Call the store, or wait while another kind does."""
+        self._reported_ms = self._timers.now_ms()
+        if self._retries.may_call(self.kind):
+            call()
+            return
+        epoch = self._epoch
+
+        def begin_unless_stopped() -> None:
+            if epoch == self._epoch:
+                self._list() if self.version == 0 else self._begin_watch()
+
+        self._retries.wait(self.kind, begin_unless_stopped)
+
     def _retry_later(self, retry: Callable[[], None]) -> None:
-        delay_ms = self._backoff_ms * (1.0 + JITTER_RATIO * self._random.random())
-        self._backoff_ms = min(MAX_BACKOFF_MS, 2.0 * self._backoff_ms)
+        backoff_ms = max(self._backoff_ms, self._retries.min_backoff_ms)
+        delay_ms = backoff_ms * (1.0 + JITTER_RATIO * self._random.random())
+        self._backoff_ms = min(self._retries.max_backoff_ms, 2.0 * backoff_ms)
         self._timer = self._timers.call_later(delay_ms, retry)
 
 
--- a/tests/adapters/relay.feature
+++ b/tests/adapters/relay.feature
@@ -18,6 +18,14 @@
     When a daemon follows it
     Then the end is reported
 
+  # Each daemon of a zone read the whole state of one that had lost the store.
+  Scenario: A follower leaves a daemon without the store before the listings are sent
+    Given a relay on loopback that has lost the store
+    When a daemon follows it and leaves at the first message
+    Then the relay has sent no listing
+    When a daemon follows it
+    Then the follower has received the loss, 3 listings and the loss
+
   Scenario: A follower reports a slow leaf to the daemon it follows
     Given a relay on loopback with a snapshot of 3 listings
     When a daemon follows it
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -191,6 +191,46 @@
     And 0.1 s pass for them
     Then the registry holds the new address
 
+  # The daemon that came second followed the first one for a moment, each 10 s, and its
+  # followers lost it: all of them called the store and read the first one's old state.
+  Scenario: The store turns away the first daemon of a zone, and the others do not call it
+    Given 12 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the calls of each daemon are counted from now on
+    And the store refuses the calls of the first daemon of zone-a
+    And the operators write version 7
+    And 25 s pass for them
+    Then 1 daemon of zone-a has called the store and was answered
+    And each other one has called it at most 2 times but for the registry
+    When the operators write version 8
+    And 1 s pass for them
+    Then all daemons have version 8 in force
+
+  # It served on with an older and older state though its neighbours had a current one.
+  Scenario: A daemon that the store turns away follows another one
+    Given 12 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the store refuses the calls of the first daemon of zone-a
+    And the operators write version 7
+    And 4 s pass for them
+    Then all daemons have version 7 in force
+    When the operators write version 8
+    And 0.1 s pass for them
+    Then all daemons have version 8 in force
+
+  # Each call is charged for, also those that fail: all daemons retried all kinds.
+  Scenario: While the store is away few calls are made, and all know soon that it is back
+    Given 60 daemons in 3 zones, fed by one store
+    When 5 s pass for them
+    And the calls of each daemon are counted from now on
+    And the store becomes unreachable
+    And 5 s pass for them
+    Then the daemons have called the store at most 200 times
+    When the operators write version 7
+    And the store answers again
+    And 2.5 s pass for them
+    Then all daemons have version 7 in force
+
   # Leafs of many shards turn slow, and each daemon alone asks each leaf too rarely to detect it.
   Scenario: Evidence of a slow leaf is shared among the daemons of a zone
     Given 6 daemons in 2 zones, fed by one store
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -56,6 +56,7 @@
     platform: FakePlatform
     relay: object
     feed: StoreFeed
+    calls: Counter = attrs.field(factory=Counter)
 
 
 def add_daemon(context, number, zone, seeds=(), first_start=True, host=""):
@@ -150,7 +151,7 @@
 def followed_in(context, zone):
     """Return the daemon that the others of a zone follow."""
     in_zone = [daemon for daemon in context.fed if daemon.address.zone == zone]
-    (followed,) = [daemon for daemon in in_zone if daemon.feed._followed is None]
+    (followed,) = [daemon for daemon in in_zone if daemon.feed.followed is None]
     return followed
 
 
@@ -295,7 +296,7 @@
 
 @then("the new daemon follows the one that {zone} follows")
 def step_follows(context, zone):
-    followed = context.fed[-1].feed._followed
+    followed = context.fed[-1].feed.followed
     assert followed is not None and followed.host == context.stuck.address.host
 
 
@@ -417,6 +418,52 @@
         count(name)
 
 
+@when("the calls of each daemon are counted from now on")
+def step_count_each(context):
+    for daemon in context.fed:
+        count_calls(daemon)
+
+
+def count_calls(daemon):
+    """Count a daemon's calls by kind; a watch counts once, however long it lasts."""
+    daemon.calls = Counter()
+    for name in ("list_all", "read", "write", "watch"):
+        call = getattr(daemon.platform, name)
+
+        def counted(kind, *args, _call=call, **options):
+            daemon.calls[kind] += 1
+            return _call(kind, *args, **options)
+
+        setattr(daemon.platform, name, counted)
+
+
+def state_calls(daemon):
+    """Return the number of a daemon's calls but for those of the registry."""
+    return sum(count for kind, count in daemon.calls.items() if kind is not Kind.DAEMON)
+
+
+@then("{count:d} daemon of zone-a has called the store and was answered")
+def step_callers(context, count):
+    others = [d for d in context.fed[1:] if d.address.zone == "zone-a"]
+    callers = [d for d in others if d.feed.followed is None]
+    assert len(callers) == count, [d.address.name for d in callers]
+    assert state_calls(callers[0]) > 0
+    context.replacement = callers[0]
+
+
+@then("each other one has called it at most {most:d} times but for the registry")
+def step_few_calls(context, most):
+    for daemon in context.fed[1:]:
+        if daemon.address.zone == "zone-a" and daemon is not context.replacement:
+            assert state_calls(daemon) <= most, (daemon.address.name, daemon.calls)
+
+
+@then("the daemons have called the store at most {most:d} times")
+def step_total_calls(context, most):
+    total = sum(sum(daemon.calls.values()) for daemon in context.fed)
+    assert total <= most, total
+
+
 @then('the store was called 1 time: "{call}"')
 def step_one_call(context, call):
     assert context.store_calls == {call: 1}, context.store_calls
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 
 from snipemount.adapters.relay_websocket import WebsocketRelay
-from snipemount.model.relay import RelayChange, RelayEvidence, RelayListing, SlowLeaf
+from snipemount.model.relay import (
+    RelayChange,
+    RelayEvidence,
+    RelayListing,
+    RelayStoreLost,
+    SlowLeaf,
+)
 from snipemount.ports.platform import Kind, StoredObject
 from snipemount.ports.relay import DaemonAddress
 from snipemount.standins.harness import free_port
@@ -67,6 +73,34 @@
     context.closers.append(close)
 
 
+@given("a relay on loopback that has lost the store")
+def step_storeless(context):
+    step_relay(context, 3)
+    lost = RelayStoreLost("the store does not answer")
+    snapshot = context.relay._snapshot
+    context.snapshots = 0
+
+    def count_snapshot():
+        context.snapshots += 1
+        return [lost, *snapshot(), lost]
+
+    context.relay._snapshot = count_snapshot
+
+
+@then("the relay has sent no listing")
+def step_no_listing(context):
+    run(context, asyncio.sleep(0.1))
+    assert context.snapshots == 1, context.snapshots
+    context.received.clear()
+
+
+@then("the follower has received the loss, 3 listings and the loss")
+def step_loss_last(context):
+    run(context, wait_until(lambda: len(context.received) == 5))
+    kinds = [type(message) for message in context.received]
+    assert kinds == [RelayStoreLost, *[RelayListing] * 3, RelayStoreLost], kinds
+
+
 @when("a daemon follows it")
 def step_follow(context):
     async def follow():
