Close the idle connections of a burst; encode a listing once for all followers

Cause: a coordinator of the grown site peaks at 74 MB with 940 open descriptors: each burst's connections stayed open until the leafs closed them, as only the newest are used again. When a zone lost its relay, the next daemon encoded the same listing for each of 25 followers, which kept its loop busy for longer than a query may wait to be accepted. Change: two idle connections a leaf at most, the oldest is closed; the listing and its encoding are kept until something changes. Shown: leaf_connection.feature and relay.feature, both failed before.

--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -10,7 +10,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from ..errors import DecodeError
-from ..model.relay import RelayStoreLost
+from ..model.relay import RelayListing, RelayStoreLost
 from ..ports.relay import RelayPort
 from .daemon_websockets import (
     close_at_once,
@@ -27,6 +27,7 @@
     from websockets.asyncio.server import Server, ServerConnection
 
     from ..model.relay import RelayMessage
+    from ..ports.platform import Kind
     from ..ports.relay import DaemonAddress
 
 RECEIVE_TIMEOUT_S = 1.5  # three missed `RelayHeartbeat` messages
@@ -66,6 +67,7 @@
         self._snapshot = snapshot
         self._logger = logger
         self._followers: set[ServerConnection] = set()
+        self._encoded_listings: dict[Kind, tuple[RelayListing, bytes]] = {}
         self._server: Server | None = None
         self._receive_task: asyncio.Task[None] | None = None
 
@@ -146,7 +148,7 @@
             return
         # No await between the snapshot and adding the follower: no change is missed.
         for message in messages:
-            broadcast([connection], encode_relay(message))
+            broadcast([connection], self._encode(message))
         self._followers.add(connection)
         try:
             async for frame in connection:
@@ -159,6 +161,18 @@
         finally:
             self._followers.discard(connection)
 
+    def _encode(self, message: RelayMessage) -> bytes:
+        """Encode a message for a new follower; many may come at the same time."""
+        if not isinstance(message, RelayListing):
+            return encode_relay(message)
+        known = self._encoded_listings.get(message.kind)
+        if known is None or known[0] is not message:
+            known = self._encoded_listings[message.kind] = (
+                message,
+                encode_relay(message),
+            )
+        return known[1]
+
     async def _receive(
         self,
         daemon: DaemonAddress,
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -24,6 +24,9 @@
 # Many times the duration of a handshake, but less than the time after which TCP sends
 # a lost first packet again.
 CONNECT_TIMEOUT_MS = 400.0
+# To one address: further ones, opened in a burst, would only take memory here and
+# places at the leaf.
+MAX_IDLE_CONNECTIONS = 2
 MS_PER_S = 1000.0
 
 
@@ -259,6 +262,8 @@
             return
         connection.idle_since_ms = self._timers.now_ms()
         pool.idle.append(connection)
+        if len(pool.idle) > MAX_IDLE_CONNECTIONS:
+            pool.idle.pop(0).close()
 
 
 def _discard_result(responded: bool) -> None:
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -116,6 +116,7 @@
         self._on_update = on_update
         self._logger = logger
         self._objects: dict[str, StoredObject] = {}
+        self._listing: RelayListing | None = None
         self.version = 0
         self.store_reachable = False
         self.current_at_ms = -math.inf
@@ -181,11 +182,18 @@
         return {stored.name: stored for stored in listing.objects} != self._objects
 
     def listing(self) -> RelayListing:
-        """Return all known objects, for a daemon that begins to follow this one."""
-        return RelayListing(self.kind, self.version, tuple(self._objects.values()))
+        """Return all known objects, for a daemon that begins to follow this one.
+
+        The same listing is returned until something changes.
+        """
+        if self._listing is None:
+            objects = tuple(self._objects.values())
+            self._listing = RelayListing(self.kind, self.version, objects)
+        return self._listing
 
     def apply(self, message: RelayMessage) -> None:
         """Apply an update from the store or from the relaying daemon, and notify."""
+        self._listing = None
         match message:
             case RelayListing(_, version, objects):
                 self._log_listing(version, len(objects))
--- a/tests/adapters/relay.feature
+++ b/tests/adapters/relay.feature
@@ -26,6 +26,13 @@
     When a daemon follows it
     Then the follower has received the loss, 3 listings and the loss
 
+  # A coordinator whose zone follows it encoded the same listing for each follower.
+  Scenario: A listing is encoded once for all followers that come before it changes
+    Given a relay on loopback with a snapshot of 3 listings
+    And listings that count how often they are encoded
+    When 5 daemons follow it one after the other
+    Then 3 listings were encoded
+
   Scenario: A follower reports a slow leaf to the daemon it follows
     Given a relay on loopback with a snapshot of 3 listings
     When a daemon follows it
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -43,6 +43,12 @@
     And the daemon closes the connection
     Then the pool was notified before the next event loop iteration
 
+  # A coordinator kept all connections of a burst open, up to 900 of them.
+  Scenario: Connections that a burst needed are closed after it, the oldest first
+    Given a client with 7 connections to one leaf that serve a request each
+    When all of them become idle, one after the other
+    Then only the last 2 of them are open and idle
+
   Scenario: A truncated response is not accepted
     Given a connection to a leaf with a pending request
     When the leaf sends a truncated response
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -16,8 +16,10 @@
     NoValidResponse,
 )
 from snipemount.model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
+from snipemount.platform.leaf_client import LeafClient
 from snipemount.platform.leaf_connection import LeafConnection, LeafConnectionState
 from snipemount.platform.pending_bytes import PendingBytes
+from snipemount.timers import VirtualTimers
 
 REQUEST = ForwardRequest("abc", "GET", "/find/1", "h", (("Host", "h"),), b"", 900.0)
 BODY = b"0123456789abcdef" * 3
@@ -60,6 +62,43 @@
     context.connection, context.reports, context.freed = begin_request(loop)
 
 
+@given("a client with {count:d} connections to one leaf that serve a request each")
+def step_burst(context, count):
+    loop = asyncio.new_event_loop()
+    context.closers = [*getattr(context, "closers", []), loop.close]
+
+    async def make():
+        return LeafClient(VirtualTimers(), lambda leaf: count)
+
+    context.client = loop.run_until_complete(make())
+    pool = context.pool = context.client._pools["10.0.0.1", 8000]
+    context.burst = []
+    for _ in range(count):
+        connection = LeafConnection(
+            loop, lambda freed: context.client._release(pool, freed), PendingBytes()
+        )
+        connection.connection_made(DeadTransport())
+        connection.state = LeafConnectionState.BUSY
+        pool.connections.add(connection)
+        context.burst.append(connection)
+
+
+@when("all of them become idle, one after the other")
+def step_all_idle(context):
+    for connection in context.burst:
+        connection.state = LeafConnectionState.IDLE
+        context.client._release(context.pool, connection)
+
+
+@then("only the last {count:d} of them are open and idle")
+def step_last_idle(context, count):
+    last = context.burst[-count:]
+    assert context.pool.idle == last, len(context.pool.idle)
+    assert context.pool.connections == set(last)
+    closed = context.burst[:-count]
+    assert all(c.state is LeafConnectionState.CLOSED for c in closed)
+
+
 @when("the leaf sends the complete response")
 def step_complete(context):
     context.connection.data_received(make_response())
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -7,6 +7,8 @@
 import structlog
 from behave import given, then, when
 
+from snipemount.adapters import relay_websocket
+from snipemount.adapters.relay_codec import encode_relay
 from snipemount.adapters.relay_websocket import WebsocketRelay
 from snipemount.model.relay import (
     RelayChange,
@@ -87,6 +89,33 @@
     context.relay._snapshot = count_snapshot
 
 
+@given("listings that count how often they are encoded")
+def step_count_encodings(context):
+    context.encodings = 0
+
+    def count(message):
+        context.encodings += isinstance(message, RelayListing)
+        return encode_relay(message)
+
+    context.closers.append(
+        lambda: setattr(relay_websocket, "encode_relay", encode_relay)
+    )
+    relay_websocket.encode_relay = count
+
+
+@when("{count:d} daemons follow it one after the other")
+def step_follow_often(context, count):
+    for _ in range(count):
+        context.received.clear()
+        step_follow(context)
+        run(context, wait_until(lambda: len(context.received) == 3))
+
+
+@then("{count:d} listings were encoded")
+def step_encoded(context, count):
+    assert context.encodings == count, context.encodings
+
+
 @then("the relay has sent no listing")
 def step_no_listing(context):
     run(context, asyncio.sleep(0.1))
