Say 'not run' for requests that were never sent

A caller may not repeat one that may run only once after those. Change: the port tells whether a pending attempt was sent; one that was not does not count, as it is never sent once the call is cancelled. Shown: single.feature, failed before (504).

--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -43,6 +43,11 @@
         self.connection: LeafConnection | None = None
         self.connect_ms = 0.0
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the request has been written, so that the leaf may run it."""
+        return self.connection is not None
+
     def cancel(self) -> bool:
         """Abort the connection in use; one that is still opening goes to the pool.
 
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -43,6 +43,11 @@
 class AttemptHandle(ABC):
     """An attempt that is pending."""
 
+    @property
+    @abstractmethod
+    def was_sent(self) -> bool:
+        """Whether the request was sent, so that it may reach the leaf."""
+
     @abstractmethod
     def cancel(self) -> bool:
         """Cancel the attempt; its `done` callback is not called any more.
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -110,8 +110,16 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether any leaf may have run the request."""
-        return self._possible_runs > 0
+        """Whether any leaf may have run the request.
+
+        An attempt whose connection is still being opened is never sent once the call
+        is cancelled.
+        """
+        unsent = sum(
+            attempt.handle is not None and not attempt.handle.was_sent
+            for attempt in self._pending
+        )
+        return self._possible_runs > unsent
 
     @property
     def was_attempted(self) -> bool:
--- a/src/snipemount/standins/modelled_vm.py
+++ b/src/snipemount/standins/modelled_vm.py
@@ -80,6 +80,11 @@
         self.cancelled = False
         self.inner: AttemptHandle | None = None
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the processor has got to the attempt, and it was sent."""
+        return self.inner is not None and self.inner.was_sent
+
     def cancel(self) -> bool:
         """Cancel the attempt; return whether it was sent."""
         self.cancelled = True
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -46,6 +46,8 @@
         Whether no connection to the leaf can be opened.
     refuses_connections : bool
         Whether connections to the leaf are refused.
+    drops_packets : bool
+        Whether opening a connection to the leaf never ends.
     closes_connection : bool
         Whether the connection is closed without a response after a request was
         executed.
@@ -69,6 +71,7 @@
     unresponsive: bool = False
     unreachable: bool = False
     refuses_connections: bool = False
+    drops_packets: bool = False
     closes_connection: bool = False
     refuses: bool = False
     address_reused: bool = False
@@ -80,16 +83,27 @@
 class ScriptedAttempt(AttemptHandle):
     """Handle of one attempt at a scripted leaf."""
 
-    def __init__(self, timer: Timer | None, on_cancel: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        timer: Timer | None,
+        on_cancel: Callable[[], None],
+        was_sent: bool = True,
+    ) -> None:
         self._timer = timer
         self._on_cancel = on_cancel
+        self._was_sent = was_sent
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether the leaf may have got the request."""
+        return self._was_sent
 
     def cancel(self) -> bool:
-        """Cancel the attempt; always succeeds."""
+        """Cancel the attempt; return whether the leaf may have got it."""
         if self._timer is not None:
             self._timer.cancel()
         self._on_cancel()
-        return True
+        return self._was_sent
 
 
 class ScriptedLeafs(LeafPort):
@@ -132,6 +146,8 @@
         if script.refuses_connections:
             report = AttemptReport(NotRun(NotRunReason.CONNECTION_REFUSED))
             return self._report_later(1.0, leaf, done, report)
+        if script.drops_packets:
+            return ScriptedAttempt(None, lambda: None, was_sent=False)
         self.arrivals.append((now_ms, leaf.leaf_id, request.request_id))
         if script.refuses or script.address_reused:
             return self._report_later(1.0, leaf, done, self._refusal(script))
--- a/tests/serving/single.feature
+++ b/tests/serving/single.feature
@@ -74,3 +74,16 @@
     And a configuration of version 5 with all routes is read
     And a "look" request is asked
     Then its route is unknown
+
+  # Callers may repeat a request that may run only once if they know that it has not run.
+  Scenario: A request that was never sent is refused as not run, not failed, at its deadline
+    Given a serving path with two leafs a shard
+    When packets to the ledger's leafs are dropped
+    And a "log" request is asked
+    And 6100 ms pass
+    Then it is refused with a retry delay
+    And no leaf ran the query
+    And it was sent 0 times
+    When packets to the ledger's leafs are not dropped any more
+    And 2000 ms pass
+    Then it was sent 0 times
--- a/tests/steps/fleet_world.py
+++ b/tests/steps/fleet_world.py
@@ -115,6 +115,8 @@
 class SilentAttempt(AttemptHandle):
     """Attempt at a leaf in another part of the network."""
 
+    was_sent = True
+
     def cancel(self) -> bool:
         """Cancel the attempt, which may have been sent."""
         return True
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -160,6 +160,22 @@
         context.serving.leafs.scripts[f"ledger-{number}"].closes_connection = True
 
 
+def drop_ledger_packets(context, dropped):
+    """Set whether packets to the ledger's leafs are dropped."""
+    for number in range(4):
+        context.serving.leafs.scripts[f"ledger-{number}"].drops_packets = dropped
+
+
+@when("packets to the ledger's leafs are dropped")
+def step_ledger_dark(context):
+    drop_ledger_packets(context, True)
+
+
+@when("packets to the ledger's leafs are not dropped any more")
+def step_ledger_back(context):
+    drop_ledger_packets(context, False)
+
+
 @when("{count:d} of the ledger's leafs refuse requests")
 def step_some_refuse(context, count):
     for number in range(count):
