--- a/src/snipemount/decisions/zone_reachability.py
+++ b/src/snipemount/decisions/zone_reachability.py
@@ -17,9 +17,19 @@
 
 import attrs
 
+from ..model.forwarding import (
+    NOT_ARRIVED_REASONS,
+    LeafAnswer,
+    NotRun,
+    NoValidResponse,
+    NoValidResponseReason,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Set
 
+    from ..model.forwarding import AttemptOutcome
+
 MIN_UNRESPONSIVE_LEAFS = 4
 MIN_MS_WITHOUT_RESPONSE = 250.0
 UNRESPONSIVE_AFTER_MS = 60.0
@@ -137,4 +147,18 @@
         return due
 
 
-__all__ = ["UNRESPONSIVE_AFTER_MS", "ZoneReachability"]
+def is_response(outcome: AttemptOutcome) -> bool:
+    """Return whether the outcome of an attempt shows that the leaf's zone is reached.
+
+    A network that is cut may refuse connections and reset those that are open.
+    """
+    match outcome:
+        case NotRun(reason):
+            return reason not in NOT_ARRIVED_REASONS
+        case NoValidResponse(reason):
+            return reason is not NoValidResponseReason.CONNECTION_CLOSED
+        case LeafAnswer():
+            return True
+
+
+__all__ = ["UNRESPONSIVE_AFTER_MS", "ZoneReachability", "is_response"]
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -83,6 +83,13 @@
     OTHER_LEAF = "other_leaf"  # another leaf listens on the address
 
 
+NOT_ARRIVED_REASONS = (
+    NotRunReason.UNREACHABLE,
+    NotRunReason.CONNECTION_REFUSED,
+    NotRunReason.NO_CONNECTION,
+)
+
+
 @attrs.frozen
 class NotRun:
     """The leaf has not run the request and will not run it."""
@@ -204,6 +211,7 @@
 RequestOutcome = Forwarded | Merged | RequestRefused | RequestFailed | UnknownRoute
 
 __all__ = [
+    "NOT_ARRIVED_REASONS",
     "AttemptOutcome",
     "FailureReason",
     "ForwardRequest",
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS
+from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS, is_response
 from ..model.forwarding import (
+    NOT_ARRIVED_REASONS,
     LeafAnswer,
     NotRun,
     NotRunReason,
     NoValidResponse,
-    NoValidResponseReason,
 )
 from .attempt_records import AttemptRecords
 from .pending_attempt import PendingAttempt
@@ -20,18 +20,13 @@
 
     from ..decisions.leaf_state import LeafState
     from ..model.configuration import Route
-    from ..model.forwarding import AttemptOutcome, ForwardRequest
+    from ..model.forwarding import ForwardRequest
     from ..ports.leaf import AttemptReport
     from .context import ServingContext
 
 FIRST_SERVER_ERROR = 500
 UNRESPONSIVE_LATENCY_RATIO = 3.0
 HEDGE_BUDGET_SHARE = 0.8  # hedges leave the rest of the budget to retries
-NOT_ARRIVED_REASONS = (
-    NotRunReason.UNREACHABLE,
-    NotRunReason.CONNECTION_REFUSED,
-    NotRunReason.NO_CONNECTION,
-)
 
 
 class ServiceCall:
@@ -279,7 +274,7 @@
         self._pending.remove(attempt)
         now_ms = self._context.timers.now_ms()
         self._record_attempt(attempt, report, now_ms)
-        if _is_response(report.outcome):
+        if is_response(report.outcome):
             self._context.note_response(attempt.state.leaf)
         if report.load is not None:
             attempt.state.load_reported(report.load, now_ms)
@@ -396,18 +391,4 @@
             self._budget_taken -= unused
 
 
-def _is_response(outcome: AttemptOutcome) -> bool:
-    """Return whether an outcome shows that the leaf's zone can be reached.
-
-    A network that is cut may refuse connections and reset those that are open.
-    """
-    match outcome:
-        case NotRun(reason):
-            return reason not in NOT_ARRIVED_REASONS
-        case NoValidResponse(reason):
-            return reason is not NoValidResponseReason.CONNECTION_CLOSED
-        case LeafAnswer():
-            return True
-
-
 __all__ = ["ServiceCall"]
--- a/tests/steps/delegated_query_steps.py
+++ b/tests/steps/delegated_query_steps.py
@@ -27,16 +27,6 @@
     context.crashed = None
 
 
-@given("the same VMs just after their start")
-def step_just_started(context):
-    before = context.fleet
-    world = context.fleet = FleetWorld()
-    for daemon in before.daemons:
-        world.add_daemons(daemon.zone, 1, (daemon.vm.cores, daemon.vm.link_mbps))
-    world.start()
-    context.small = world.daemons[-1]
-
-
 def coordinators_of(context):
     """Return the daemons that the small VM prefers, the nearest first."""
     by_name = {daemon.name: daemon for daemon in context.fleet.daemons}
@@ -139,13 +129,6 @@
             nearest.vm.frozen_until_ms = context.fleet.timers.now_ms() + 250.0
 
 
-@when("all large VMs stall for {stall_ms:g} ms")
-def step_stall(context, stall_ms):
-    for daemon in context.fleet.daemons:
-        if daemon.vm.cores == LARGE[0]:
-            daemon.vm.frozen_until_ms = context.fleet.timers.now_ms() + stall_ms
-
-
 @when("{zone} is cut off from the others")
 def step_cut_off(context, zone):
     context.fleet.cut_off(zone)
--- /dev/null
+++ b/tests/steps/feed_call_steps.py
@@ -0,0 +1,137 @@
+"""Steps on restarts of daemons and on their calls of the store, in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import then, when
+from feed_steps import add_daemon, followed_in, would_send
+
+from snipemount.ports.platform import Kind
+
+
+def restart(context, daemon, host=""):
+    """End a daemon's process and start a new one on the same VM."""
+    stop(daemon)
+    context.fed.remove(daemon)
+    number = int(daemon.address.name.rpartition("-")[2])
+    return add_daemon(context, number, daemon.address.zone, (), False, host)
+
+
+def stop(daemon):
+    """End a daemon's process: its connections end and it calls nobody any more."""
+    daemon.relay.kill()
+    daemon.platform.cut_off = True
+    for kind in daemon.feed._kinds.values():
+        kind.follow_relay()
+
+
+@when("the last daemon is restarted")
+def step_restart_last(context):
+    restart(context, context.fed[-1])
+
+
+@when("the last daemon is restarted with another address")
+def step_restart_elsewhere(context):
+    restart(context, context.fed[-1], "10.0.9.9")
+
+
+@when("all daemons are restarted")
+def step_restart_all(context):
+    for daemon in list(context.fed):
+        stop(daemon)
+    for daemon in list(context.fed):
+        restart(context, daemon)
+
+
+@when("the daemon that {zone} follows is frozen")
+def step_freeze_followed(context, zone):
+    followed = followed_in(context, zone)
+    followed.relay.frozen = True
+    followed.platform.cut_off = True
+
+
+@when("the daemon that {zone} follows is without the store")
+def step_followed_without_store(context, zone):
+    followed_in(context, zone).platform.cut_off = True
+
+
+@then("it would not send a request to {name}")
+def step_new_no_request(context, name):
+    assert not would_send(context.fed[-1], name)
+
+
+@then("the registry holds the new address")
+def step_new_address(context):
+    address = context.fed[-1].address
+    stored = context.store.list_all(Kind.DAEMON).objects
+    hosts = {entry.name: entry.spec["host"] for entry in stored}
+    assert hosts[address.name] == address.host == "10.0.9.9", hosts
+
+
+@when("the calls of the store are counted from now on")
+def step_count_calls(context):
+    context.store_calls = Counter()
+
+    def count(name):
+        call = getattr(context.store, name)
+
+        def counted(kind, *args):
+            context.store_calls[f"{name.partition('_')[0]} {kind.value}"] += 1
+            return call(kind, *args)
+
+        setattr(context.store, name, counted)
+
+    for name in ("list_all", "read", "write", "subscribe"):
+        count(name)
+
+
+@when("the calls of each daemon are counted from now on")
+def step_count_each(context):
+    for daemon in context.fed:
+        count_calls(daemon)
+
+
+def count_calls(daemon):
+    """Count a daemon's calls by kind; a watch counts once, however long it lasts."""
+    daemon.calls = Counter()
+    for name in ("list_all", "read", "write", "watch"):
+        call = getattr(daemon.platform, name)
+
+        def counted(kind, *args, _call=call, **options):
+            daemon.calls[kind] += 1
+            return _call(kind, *args, **options)
+
+        setattr(daemon.platform, name, counted)
+
+
+def state_calls(daemon):
+    """Return the number of a daemon's calls but for those of the registry."""
+    return sum(count for kind, count in daemon.calls.items() if kind is not Kind.DAEMON)
+
+
+@then("{count:d} daemon of zone-a has called the store and was answered")
+def step_callers(context, count):
+    others = [d for d in context.fed[1:] if d.address.zone == "zone-a"]
+    callers = [d for d in others if d.feed.followed is None]
+    assert len(callers) == count, [d.address.name for d in callers]
+    assert state_calls(callers[0]) > 0
+    context.replacement = callers[0]
+
+
+@then("each other one has called it at most {most:d} times but for the registry")
+def step_few_calls(context, most):
+    for daemon in context.fed[1:]:
+        if daemon.address.zone == "zone-a" and daemon is not context.replacement:
+            assert state_calls(daemon) <= most, (daemon.address.name, daemon.calls)
+
+
+@then("the daemons have called the store at most {most:d} times")
+def step_total_calls(context, most):
+    total = sum(sum(daemon.calls.values()) for daemon in context.fed)
+    assert total <= most, total
+
+
+@then('the store was called 1 time: "{call}"')
+def step_one_call(context, call):
+    assert context.store_calls == {call: 1}, context.store_calls
