--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -230,8 +230,8 @@
         for call in self._calls:
             if not call.settled:
                 call.cancel()
-        # A call refers to the run: without this the parts of ended queries would stay in
-        # memory until the garbage collector gets to them.
+        # Calls refer to the run: without this the parts of ended queries would stay in
+        # memory until the garbage collector ran.
         self._calls = []
 
 
