Import less at the start of an entry daemon

Cause: the imports are most of the time from the start of a process to its first answer; aiohttp.web brings the parts of web applications that are not used, settings.py those of the product's own interface. Change: the server's modules are imported directly; the store's address is a class of its own.

--- a/src/snipemount/daemon.py
+++ b/src/snipemount/daemon.py
@@ -23,6 +23,7 @@
 from .node.node import Node, Ports
 from .platform.store_client import StoreClient
 from .ports.serving_metrics import NoServingMetrics
+from .ports.store_address import StoreAddress
 from .timers import LoopTimers
 from .tls import TlsContexts
 
@@ -56,8 +57,11 @@
             member, self._timers, self.logger, self._on_message, self._on_peer_lost
         )
         self._backend = HttpBackend()
+        platform = settings.platform
         self._platform = StoreClient(
-            settings.platform, NoServingMetrics(), self._timers
+            StoreAddress(platform.url, platform.call_timeout_ms),
+            NoServingMetrics(),
+            self._timers,
         )
         ports = Ports(self._backend, self._peers, self._platform, self._timers)
         seeds = tuple(
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -9,7 +9,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import web
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 
 from .adapters.delegation_websocket import (
     WebsocketDelegationClient,
@@ -36,6 +37,7 @@
 from .platform.store_client import StoreClient
 from .ports.platform import Kind
 from .ports.relay import DaemonAddress
+from .ports.store_address import StoreAddress
 from .serving.context import ServingContext
 from .serving.coordinator_links import CoordinatorLinks
 from .serving.delegated_queries import DelegatedQueries
@@ -43,10 +45,11 @@
 from .serving.ready_connections import ReadyConnections
 from .serving.request_log import RequestLog
 from .serving.store_feed import StoreFeed
-from .settings import PlatformSettings
 from .timers import LoopTimers
 
 if TYPE_CHECKING:
+    from aiohttp.web_request import BaseRequest
+
     from .model.leaf import Leaf
     from .model.relay import RelayMessage
     from .platform.node_file import NodeSettings
@@ -120,7 +123,7 @@
         store = settings.store
         age_limits = StateAgeLimits.for_bound(settings.bounds.zone_out_ms)
         self._store = StoreClient(
-            PlatformSettings(f"http://{store.host}:{store.port}"),
+            StoreAddress(f"http://{store.host}:{store.port}"),
             self._metrics,
             self._timers,
             age_limits.watch_wait_ms,
@@ -183,11 +186,11 @@
             self._loop.add_signal_handler(signal_number, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         own = self._settings
-        readiness_server = web.Server(self._serve_readiness, access_log=None)
+        readiness_server = Server(self._serve_readiness, access_log=None)
         await self._loop.create_server(
             readiness_server, own.readiness.host, own.readiness.port
         )
-        metrics_server = web.Server(self._serve_metrics, access_log=None)
+        metrics_server = Server(self._serve_metrics, access_log=None)
         await self._loop.create_server(metrics_server, own.readiness.host, METRICS_PORT)
         listener = await self._loop.create_server(
             self._caller_server, own.callers.host, own.callers.port, backlog=1024
@@ -226,20 +229,20 @@
     def _on_relay_message(self, message: RelayMessage) -> None:
         self._store_feed.on_follower_message(message)
 
-    async def _serve_readiness(self, request: web.BaseRequest) -> web.Response:
+    async def _serve_readiness(self, request: BaseRequest) -> Response:
         ready = self.ready
         self._readiness_checks.note(ready, self._timers.now_ms())
-        return web.Response(status=200 if ready else 503)
+        return Response(status=200 if ready else 503)
 
     def _ms_until_moved(self) -> float:
         if not self.gateway.is_isolated:
             return 0.0
         return self._readiness_checks.ms_until_moved(self._timers.now_ms())
 
-    async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
+    async def _serve_metrics(self, request: BaseRequest) -> Response:
         if request.path != METRICS_PATH:
-            return web.Response(status=404)
-        return web.Response(body=self._metrics.render(), content_type="text/plain")
+            return Response(status=404)
+        return Response(body=self._metrics.render(), content_type="text/plain")
 
     def _register_gauges(self) -> None:
         gauge = self._metrics.add_gauge
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -6,7 +6,10 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
 from ..model.forwarding import (
@@ -27,6 +30,7 @@
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http import RawRequestMessage
     from aiohttp.streams import StreamReader
+    from aiohttp.web_response import StreamResponse
 
     from ..model.forwarding import RequestOutcome
     from ..serving.gateway import Gateway
@@ -72,7 +76,7 @@
     ) -> None:
         self._gateway = gateway
         self._delegated_in_flight = delegated_in_flight
-        self._server = web.Server(
+        self._server = Server(
             self._handle, request_factory=self._make_request, handler_cancellation=True
         )
         self.closing = False
@@ -80,10 +84,10 @@
         self._pending: set[asyncio.Future[RequestOutcome]] = set()
         self.in_flight = 0
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> RequestHandler:
         """Return the protocol for a new connection, with the current limits."""
         limits = self._gateway.limits
-        return web.RequestHandler(
+        return RequestHandler(
             self._server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_ms / MS_PER_S + KEEP_ALIVE_SLACK_S,
@@ -130,11 +134,11 @@
         self,
         message: RawRequestMessage,
         payload: StreamReader,
-        protocol: web.RequestHandler,
+        protocol: RequestHandler,
         writer: AbstractStreamWriter,
         task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        return web.BaseRequest(
+    ) -> BaseRequest:
+        return BaseRequest(
             message,
             payload,
             protocol,
@@ -144,7 +148,7 @@
             client_max_size=self._gateway.limits.max_body_bytes,
         )
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
         self.in_flight += 1
         try:
             response = await self._respond(request)
@@ -155,11 +159,11 @@
             response.force_close()
         return response
 
-    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(self, request: BaseRequest) -> StreamResponse:
         body = await request.read()
         forward = parse_request(request, body)
         if forward is None:
-            return web.Response(status=400)
+            return Response(status=400)
         if self._refusing:
             return make_response(
                 forward, RequestRefused(RefusalReason.STOPPING, STOPPING_RETRY_AFTER_MS)
@@ -186,7 +190,7 @@
         return make_response(forward, outcome)
 
 
-def parse_request(request: web.BaseRequest, body: bytes) -> ForwardRequest | None:
+def parse_request(request: BaseRequest, body: bytes) -> ForwardRequest | None:
     """Return the request to forward, or None when it has no request id."""
     request_id = request.headers.get(names.REQUEST_ID, "")
     if not request_id:
@@ -213,28 +217,28 @@
     return value if 0.0 <= value < float("inf") else None
 
 
-def make_response(request: ForwardRequest, outcome: RequestOutcome) -> web.Response:
+def make_response(request: ForwardRequest, outcome: RequestOutcome) -> Response:
     """Return the HTTP response for the outcome of a request."""
     match outcome:
         case Forwarded(answer):
             headers = CIMultiDict(answer.headers)
-            return web.Response(status=answer.status, headers=headers, body=answer.body)
+            return Response(status=answer.status, headers=headers, body=answer.body)
         case Merged():
             return _make_merged_response(request, outcome)
         case RequestRefused(reason, retry_after_ms):
             seconds = f"{retry_after_ms / MS_PER_S:.3f}"
             headers = CIMultiDict({names.RETRY_AFTER: seconds})
             headers[names.REQUEST_ID] = request.request_id
-            return web.Response(status=503, headers=headers, text=reason.value)
+            return Response(status=503, headers=headers, text=reason.value)
         case RequestFailed(failure):
             headers = CIMultiDict({names.REQUEST_ID: request.request_id})
             status = STATUS_BY_FAILURE[failure]
-            return web.Response(status=status, headers=headers, text=failure.value)
+            return Response(status=status, headers=headers, text=failure.value)
         case UnknownRoute():
-            return web.Response(status=404)
+            return Response(status=404)
 
 
-def _make_merged_response(request: ForwardRequest, merged: Merged) -> web.Response:
+def _make_merged_response(request: ForwardRequest, merged: Merged) -> Response:
     headers: CIMultiDict[str] = CIMultiDict()
     headers[names.REQUEST_ID] = request.request_id
     headers["Content-Type"] = "application/octet-stream"
@@ -242,7 +246,7 @@
         receipts = merged.receipts[start : start + MAX_RECEIPTS_PER_HEADER]
         headers.add(names.RECEIPTS, ", ".join(receipts))
     headers[names.MISSING_SHARDS] = str(merged.missing)
-    return web.Response(status=200, headers=headers, body=merged.body)
+    return Response(status=200, headers=headers, body=merged.body)
 
 
 __all__ = ["CallerServer", "make_response", "parse_request"]
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -30,7 +30,7 @@
 
     from ..ports.platform import ListResult, ReadResult, WatchEvent, WriteResult
     from ..ports.serving_metrics import ServingMetrics
-    from ..settings import PlatformSettings
+    from ..ports.store_address import StoreAddress
     from ..timers import TimerService
 
 OBJECTS_PATH = "/objects"
@@ -64,7 +64,7 @@
 
     Parameters
     ----------
-    settings : PlatformSettings
+    address : StoreAddress
         Base URL of the store and timeout of a call.
     metrics : ServingMetrics
         Counts the calls by kind of call and result.
@@ -76,7 +76,7 @@
 
     def __init__(
         self,
-        settings: PlatformSettings,
+        address: StoreAddress,
         metrics: ServingMetrics,
         timers: TimerService,
         watch_wait_ms: float = MAX_WATCH_WAIT_MS,
@@ -84,8 +84,8 @@
         self._metrics = metrics
         self._timers = timers
         self._watch_wait_ms = int(watch_wait_ms)
-        self._base = settings.url.rstrip("/") + OBJECTS_PATH
-        self._call_timeout_s = settings.call_timeout_ms / MS_PER_S
+        self._base = address.url.rstrip("/") + OBJECTS_PATH
+        self._call_timeout_s = address.call_timeout_ms / MS_PER_S
         self._timeout = aiohttp.ClientTimeout(total=self._call_timeout_s)
         self._session: aiohttp.ClientSession | None = None
         self._tasks: set[asyncio.Task[None]] = set()
--- a/src/snipemount/settings.py
+++ b/src/snipemount/settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .errors import SettingsError
+from .ports.store_address import DEFAULT_CALL_TIMEOUT_MS
 from .strict_tables import FieldError, convert_table
 
 if TYPE_CHECKING:
@@ -73,7 +74,9 @@
     """
 
     url: str = attrs.field(validator=_check_text)
-    call_timeout_ms: float = attrs.field(default=1000.0, validator=_check_positive)
+    call_timeout_ms: float = attrs.field(
+        default=DEFAULT_CALL_TIMEOUT_MS, validator=_check_positive
+    )
 
 
 @attrs.frozen
--- a/tests/entry.feature
+++ b/tests/entry.feature
@@ -5,3 +5,4 @@
     When the modules of an entry daemon are imported as its program does
     Then 0 certificates are loaded
     And no collection has run since
+    And neither "aiohttp.web" nor "snipemount.settings" is imported
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -20,7 +20,7 @@
 import snipemount.entry_daemon
 import aiohttp.connector
 stats = aiohttp.connector._SSL_CONTEXT_VERIFIED.cert_store_stats()
-print(json.dumps([stats["x509_ca"], collections() - before]))
+print(json.dumps([stats["x509_ca"], collections() - before, list(sys.modules)]))
 """
 
 
@@ -32,7 +32,8 @@
         check=True,
         text=True,
     )
-    context.certificates, context.collections = json.loads(ran.stdout)
+    report = json.loads(ran.stdout)
+    context.certificates, context.collections, context.modules = report
 
 
 @then("{count:d} certificates are loaded")
@@ -43,3 +44,8 @@
 @then("no collection has run since")
 def step_collections(context):
     assert context.collections == 0, context.collections
+
+
+@then('neither "{one}" nor "{other}" is imported')
+def step_not_imported(context, one, other):
+    assert not {one, other} & set(context.modules)
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -33,7 +33,7 @@
     Listed,
     StoredObject,
 )
-from snipemount.settings import PlatformSettings
+from snipemount.ports.store_address import StoreAddress
 from snipemount.timers import LoopTimers
 
 STORE_VERSION = 40
@@ -166,7 +166,7 @@
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     client = StoreClient(
-        PlatformSettings(f"http://127.0.0.1:{port}"),
+        StoreAddress(f"http://127.0.0.1:{port}"),
         PrometheusMetrics(),
         LoopTimers(asyncio.get_running_loop()),
         watch_wait_ms,
