--- a/src/snipemount/serving/relay_following.py
+++ b/src/snipemount/serving/relay_following.py
@@ -275,7 +275,7 @@
             self._apply(offer)
 
     def _apply(self, message: RelayMessage) -> None:
-        kind = kind_of(message)
+        kind = _kind_of(message)
         if kind is not None:
             self._kinds[kind].apply(message)
 
@@ -331,7 +331,7 @@
         self._timers.call_later(delay_ms, retry)
 
 
-def kind_of(message: RelayMessage) -> Kind | None:
+def _kind_of(message: RelayMessage) -> Kind | None:
     """Return the kind of object that a message updates, or None."""
     match message:
         case RelayListing(kind) | RelayConfirmation(kind):
