--- a/src/snipemount/decisions/state_age.py
+++ b/src/snipemount/decisions/state_age.py
@@ -72,6 +72,11 @@
         delay_ms = min(MAX_STORE_DELAY_MS, STORE_DELAY_MS * preceding)
         return max(0.0, min(delay_ms, left_ms))
 
+    @property
+    def max_offered_age_ms(self) -> float:
+        """Age from which another daemon's state is not taken over."""
+        return LAZY_WATCH_SHARE * self.max_age_ms
+
     @property
     def max_silence_ms(self) -> float:
         """Time without any report after which a watch is started anew."""
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -170,6 +170,11 @@
             self._timer.cancel()
             self._timer = None
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the kind follows the store itself, which answers."""
+        return self._follows_store and self.store_reachable
+
     @property
     def age_ms(self) -> float:
         """Time since the known state was current for certain."""
@@ -293,7 +298,9 @@
                 self._on_responded()
                 self._update(RelayConfirmation(self.kind, version, age_ms))
             case Expired():
-                self._retry_later(self._list)
+                # The store answers: only its history is gone.
+                self._on_responded()
+                self._call_after(FIRST_BACKOFF_MS, self._list)
             case Failed(detail):
                 self._on_failed(detail)
                 self._retry_in_turn(self._watch_again)
@@ -334,9 +341,13 @@
 
     def _retry_later(self, retry: Callable[[], None]) -> None:
         backoff_ms = max(self._backoff_ms, self._retries.min_backoff_ms)
-        delay_ms = backoff_ms * (1.0 + JITTER_RATIO * self._random.random())
         self._backoff_ms = min(self._retries.max_backoff_ms, 2.0 * backoff_ms)
-        self._timer = self._timers.call_later(delay_ms, retry)
+        self._call_after(backoff_ms, retry)
+
+    def _call_after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Call the store later; the jitter spreads the calls of many daemons."""
+        delay_ms *= 1.0 + JITTER_RATIO * self._random.random()
+        self._timer = self._timers.call_later(delay_ms, call)
 
 
 __all__ = ["KindFeed", "Subscriber"]
--- a/src/snipemount/serving/relay_following.py
+++ b/src/snipemount/serving/relay_following.py
@@ -183,8 +183,10 @@
             kind=oldest.kind.value,
             age_ms=round(oldest.age_ms),
         )
+        # Those that follow the same daemon have the same state.
         self._relay.unfollow()
-        self._on_ended(daemon)
+        self._lose(daemon)
+        self._retry_later(CATCH_UP_DELAY_MS)
 
     def _seek_if_store_is_lost(self) -> None:
         """Ask any daemon of the zone while the store turns this one away."""
@@ -236,12 +238,9 @@
     def _on_message(self, daemon: DaemonAddress, message: RelayMessage) -> None:
         match message:
             case RelayListing(kind) if self._kinds[kind].is_outdated(message):
-                self._logger.info(
-                    "relay_behind", daemon_followed=daemon.name, kind=kind.value
-                )
-                self._relay.unfollow()
-                self._lose(daemon)
-                self._retry_later(CATCH_UP_DELAY_MS)
+                self._refuse(daemon, kind, CATCH_UP_DELAY_MS)
+            case RelayConfirmation(kind) if self._is_too_old(message):
+                self._refuse(daemon, kind, SEEK_PERIOD_MS)
             case RelayEvidence():
                 self._on_evidence(message)
             case RelayStoreLost() if self.followed is None and self.has_unlisted_kind:
@@ -254,6 +253,19 @@
             case _:
                 self._apply(message)
 
+    def _is_too_old(self, offered: RelayConfirmation) -> bool:
+        """Return whether the state that is offered would have to be given up soon."""
+        if self.followed is not None or self.has_unlisted_kind:
+            return False
+        return offered.age_ms >= self._age_limits.max_offered_age_ms
+
+    def _refuse(self, daemon: DaemonAddress, kind: Kind, delay_ms: float) -> None:
+        """Leave a daemon whose state of a kind is outdated; seek again later."""
+        self._logger.info("relay_behind", daemon_followed=daemon.name, kind=kind.value)
+        self._relay.unfollow()
+        self._lose(daemon)
+        self._retry_later(delay_ms)
+
     def _on_offered(self, daemon: DaemonAddress, message: RelayMessage) -> None:
         """Collect what a daemon offers, and follow it once that is complete.
 
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -202,7 +202,7 @@
         kinds = self._kinds.values()
         if self.followed is not None or self._following.has_unlisted_kind:
             return []
-        reaches_store = all(kind.store_reachable for kind in kinds)
+        reaches_store = all(kind.reaches_store for kind in kinds)
         lost = [] if reaches_store else [RelayStoreLost("the store does not answer")]
         messages: list[RelayMessage] = [*lost]
         for kind in kinds:
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -218,6 +218,23 @@
     And 0.1 s pass for them
     Then all daemons have version 8 in force
 
+  # Hunted day scale-2 --seed 269561494519 of polckereso: the watches of the daemon followed
+  # hung while the store dropped its history. Its followers took the same old state from each
+  # other and waited a second to list anew: an old configuration was in force for 5 s.
+  Scenario Outline: The daemon that is followed has an old state, and the history is gone
+    Given <count> daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the first daemon of zone-a gets no more updates and no errors from the store
+    And the operators write version 7
+    And the store compacts its history
+    And 3.4 s pass for them
+    Then all daemons but the first have version 7 in force
+
+    Examples:
+      | count |
+      | 6     |
+      | 24    |
+
   # Each call is charged for, also those that fail: all daemons retried all kinds.
   Scenario: While the store is away few calls are made, and all know soon that it is back
     Given 60 daemons in 3 zones, fed by one store
