--- a/review/bed.py
+++ b/review/bed.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import socket
 import sys
@@ -32,6 +33,7 @@
 LOOPBACK = "127.0.0.1"
 HOST = "search.example"
 READY_TIMEOUT_S = 20.0
+MAX_OTHER_LINES = 40  # of tracebacks
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Bounds of the small deployments in SYSTEM.md.
@@ -167,7 +169,8 @@
     """A leaf: runs requests that expect it, and turns all others away with 421.
 
     `work_s` is how long a request runs; `after_start` is awaited with the connection
-    of a request that has begun to run.
+    of a request that has begun to run; `refusals` holds the headers of the next answers,
+    which turn their requests away for lack of room.
     """
 
     def __init__(self, record: Record, leaf_id: str, service: str, zone: str) -> None:
@@ -180,6 +183,7 @@
         self.runs: list[tuple[str, float]] = []
         self.after_start: Callable[[str, asyncio.StreamWriter], Awaitable[None]] | None
         self.after_start = None
+        self.refusals: list[dict[str, str]] = []
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -229,6 +233,11 @@
             self._record.note(f"leaf {self.leaf_id} ({self.service}) turns away {name}")
             writer.write(response(421, request_id, {"X-Not-Executed": "1"}))
             return
+        if self.refusals:
+            headers = {"X-Not-Executed": "1"} | self.refusals.pop(0)
+            self._record.note(f"leaf {self.leaf_id} is full for {name}: {headers}")
+            writer.write(response(503, request_id, headers))
+            return
         self._record.note(f"leaf {self.leaf_id} ({self.service}) runs {name}")
         self.runs.append((request_id, self._record.now_s()))
         if self.after_start is not None:
@@ -489,8 +498,13 @@
         status = NOT_RUN
     finally:
         for daemon in bed.daemons:
-            for line in daemon.log().splitlines():
+            lines = daemon.log().splitlines()
+            others = [line for line in lines if not line.startswith("time=")]
+            for line in [line for line in lines if line.startswith("time=")]:
                 bed.record.note(f"log at the end: {line}")
+            for line in others[:MAX_OTHER_LINES]:
+                text = re.sub(r'File ".*/', 'File "', line)
+                bed.record.note(f"log at the end, unformatted: {text}")
         await bed.stop()
         bed.record.write()
     print(f"{case.name}: exit status {status}", file=sys.stderr)
