--- a/review/2/case.py
+++ b/review/2/case.py
@@ -61,8 +61,8 @@
         request_id, sent_s, status, text = await bed.request(second, "GET", "/look/1")
         if sent_s > due_s and status == 200 and text.startswith(OLD):
             broken.append(
-                f"CONFIG: {request_id}, sent to edge-a-2 {sent_s - acked_s:.3f} s after "
-                f"the ack of version 6, was run by {OLD}"
+                f"CONFIG: {request_id}, sent to edge-a-2 {sent_s - acked_s:.3f} s "
+                f"after the ack of version 6, was run by {OLD}"
             )
         await asyncio.sleep(PERIOD_S)
     link.set_mode(LinkMode.NORMAL)
--- a/review/bed.py
+++ b/review/bed.py
@@ -21,6 +21,7 @@
 
 import aiohttp
 from aiohttp import web
+
 from snipemount.ports.platform import Kind
 from snipemount.soak.proxy import LinkMode, Proxy
 from snipemount.standins.object_store import ObjectStore
@@ -34,6 +35,7 @@
 HOST = "search.example"
 READY_TIMEOUT_S = 20.0
 MAX_OTHER_LINES = 40  # of tracebacks
+WATCH_TIMEOUT_S = 8.0  # until a watch is waiting
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Bounds of the small deployments in SYSTEM.md.
@@ -106,16 +108,13 @@
 
 
 class Store(PlatformStandin):
-    """The platform's store; waiting watches of a kind may be cut off.
-
-    `cut_watches_after_s` is None while no watch is cut, or the time that a watch of a
-    leaf's entries waits before its connection is closed without a response.
-    """
+    """The platform's store, which can cut off watches that are waiting."""
 
     def __init__(self, record: Record) -> None:
         super().__init__(ObjectStore())
         self._record = record
-        self.cut_watches_after_s: float | None = None
+        self._waiting: dict[int, tuple[Kind, web.Request]] = {}
+        self._watches = 0
         self.watch_ended_s: dict[str, float] = {}
         self.port = 0
         self._runner: web.AppRunner | None = None
@@ -142,19 +141,29 @@
         self.store.delete(kind, name)
         self._record.note(f"store acknowledged: {kind.value}/{name} removed")
 
+    async def cut_off_watch(self, kind: Kind) -> None:
+        """Close the connection of a watch of a kind, once one is waiting."""
+        end_s = self._record.now_s() + WATCH_TIMEOUT_S
+        while self._record.now_s() < end_s:
+            for number, (its_kind, request) in list(self._waiting.items()):
+                if its_kind is kind and request.transport is not None:
+                    del self._waiting[number]
+                    request.transport.close()
+                    self._record.note(f"store cut off a waiting watch of {kind.value}")
+                    return
+            await asyncio.sleep(0.01)
+        raise CaseNotRun(f"no watch of {kind.value} was waiting")
+
     async def _watch(self, request: web.Request, kind: Kind) -> web.StreamResponse:
-        watch = super()._watch(request, kind)
-        if self.cut_watches_after_s is None or kind is not Kind.LEAF:
-            response = await watch
-            self.watch_ended_s[kind.value] = self._record.now_s()
-            return response
+        self._watches += 1
+        number = self._watches
+        self._waiting[number] = kind, request
         try:
-            return await asyncio.wait_for(watch, self.cut_watches_after_s)
-        except TimeoutError:
-            if request.transport is not None:  # the client has not left meanwhile
-                request.transport.close()
-                self._record.note(f"store cut off a waiting watch of {kind.value}")
-            return web.Response()
+            response = await super()._watch(request, kind)
+        finally:
+            self._waiting.pop(number, None)
+        self.watch_ended_s[kind.value] = self._record.now_s()
+        return response
 
 
 def brief(spec: dict[str, Any]) -> str:
@@ -169,8 +178,8 @@
     """A leaf: runs requests that expect it, and turns all others away with 421.
 
     `work_s` is how long a request runs; `after_start` is awaited with the connection
-    of a request that has begun to run; `refusals` holds the headers of the next answers,
-    which turn their requests away for lack of room.
+    of a request that has begun to run; `refusals` holds the headers of the next
+    answers, which turn their requests away for lack of room.
     """
 
     def __init__(self, record: Record, leaf_id: str, service: str, zone: str) -> None:
