--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,5 @@
 # Plays the case; 1: the rule was broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH="review:src:target/deps" PYTHONDONTWRITEBYTECODE=1
+python3 -c "import bed" || exit 2
 exec python3 review/3/case.py
