Directory of leafs: a cut watch is no outage, and no removal is held anew

Cause: any failed call counted as an outage and began one grace time anew for all held removals. Ruled out: a lost removal (would be not_listed), late calls (0.2 and 0.4 s). Change: only a silence of two heartbeats of leafs is an outage; each removal has its own end, prolonged only by an outage that is longer than a watch waits; what is due is dropped with the next response too. Same cause mended for batches of very many removals.

--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leaf_directory.py
@@ -16,6 +16,9 @@
 
 # Leafs whose entries lapsed in an outage have registered again within this time.
 REMOVAL_GRACE_MS = 2200.0
+# An entry lapses after three heartbeats without one; the first may be nearly due.
+MIN_LAPSE_HEARTBEATS = 2
+DEFAULT_HEARTBEAT_MS = 1200.0
 MASS_REMOVAL_SHARE = 0.25
 MIN_MASS_REMOVAL = 4
 # Within this time the stale entry lapses or is updated to the new address.
@@ -27,20 +30,30 @@
     """Leafs by service, with the state of each.
 
     Entries that are removed around an outage of the platform's store, or very many
-    at once, are kept for a grace time; any other removal applies at once.
+    at once, are kept for a grace time; any other removal applies at once. The store
+    was away if it has not responded for so long that entries of running leafs may have
+    lapsed; a call that fails between two responses is no outage.
+
+    Parameters
+    ----------
+    heartbeat_ms : float
+        Period of the leafs' heartbeats, which keep their entries from lapsing.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_ms: float = DEFAULT_HEARTBEAT_MS) -> None:
+        self._min_outage_ms = MIN_LAPSE_HEARTBEATS * heartbeat_ms
         self._leafs: dict[str, LeafState] = {}
         self._services: defaultdict[str, dict[str, LeafState]] = defaultdict(dict)
         self._usable: dict[str, list[LeafState]] = {}
         self._reused_until_ms: dict[str, float] = {}
         # What leafs stated whose entries were removed: an entry may return.
         self._past_statements: dict[Hashable, LeafStatements] = {}
-        self._pending_removals: set[str] = set()
+        # When each entry that is gone from the store is dropped here.
+        self._pending_removals: dict[str, float] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._held_versions: dict[str, str] = {}
         self._store_responds = False
+        self._responded_ms = -math.inf
         self._grace_until_ms = -math.inf
 
     def __len__(self) -> int:
@@ -54,6 +67,11 @@
         """Return the states of all leafs."""
         return list(self._leafs.values())
 
+    @property
+    def pending_removal_count(self) -> int:
+        """Number of leafs whose entries are gone but kept for the grace time."""
+        return len(self._pending_removals)
+
     @property
     def limited_count(self) -> int:
         """Number of leafs that state a limit on requests."""
@@ -130,10 +148,19 @@
         self._usable.clear()
 
     def store_responded(self, now_ms: float) -> None:
-        """Record a response of the store; after an outage, start the grace time."""
-        if not self._store_responds:
+        """Record a response of the store; after an outage, start the grace time.
+
+        What was pending before gets it again only after an outage that is longer than
+        a watch can have waited: else each watch that is cut off would prolong it.
+        """
+        silent_ms = now_ms - self._responded_ms
+        if not self._store_responds and silent_ms >= self._min_outage_ms:
             self._grace_until_ms = now_ms + REMOVAL_GRACE_MS
+            if silent_ms >= self._min_outage_ms + REMOVAL_GRACE_MS:
+                held = dict.fromkeys(self._pending_removals, self._grace_until_ms)
+                self._pending_removals = held
         self._store_responds = True
+        self._responded_ms = now_ms
 
     def store_unreachable(self) -> None:
         """Record that the store does not respond."""
@@ -150,7 +177,7 @@
             return
         if leaf.started_wall_ms < state.leaf.started_wall_ms:
             return
-        self._pending_removals.discard(leaf.leaf_id)
+        self._pending_removals.pop(leaf.leaf_id, None)
         address = (leaf.service, leaf.host, leaf.port)
         known_address = (state.leaf.service, state.leaf.host, state.leaf.port)
         if leaf.incarnation != state.leaf.incarnation or address != known_address:
@@ -163,6 +190,8 @@
     def remove(self, leaf_id: str, now_ms: float) -> Leaf | None:
         """Remove an entry, or keep it until the grace time is over.
 
+        A later grace time does not prolong that, unless the store was away.
+
         Returns
         -------
         Leaf or None
@@ -171,7 +200,7 @@
         if leaf_id not in self._leafs:
             return None
         if now_ms < self._grace_until_ms:
-            self._pending_removals.add(leaf_id)
+            self._pending_removals.setdefault(leaf_id, self._grace_until_ms)
             return None
         return self._drop(leaf_id)
 
@@ -218,12 +247,12 @@
         list of Leaf
             The leafs that were removed.
         """
-        if not self._pending_removals or not self._store_responds:
-            return []
-        if now_ms < self._grace_until_ms:
+        if not self._store_responds:
             return []
-        leaf_ids = list(self._pending_removals)
-        removed = (self._drop(leaf_id) for leaf_id in leaf_ids)
+        expired = [
+            name for name, end in self._pending_removals.items() if end <= now_ms
+        ]
+        removed = (self._drop(leaf_id) for leaf_id in expired)
         return [leaf for leaf in removed if leaf is not None]
 
     def _add(self, leaf: Leaf, now_ms: float) -> None:
@@ -236,7 +265,7 @@
         self._usable.pop(leaf.service, None)
 
     def _drop(self, leaf_id: str) -> Leaf | None:
-        self._pending_removals.discard(leaf_id)
+        self._pending_removals.pop(leaf_id, None)
         self._reused_until_ms.pop(leaf_id, None)
         state = self._leafs.pop(leaf_id, None)
         if state is None:
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -95,7 +95,7 @@
         self._context = ServingContext(
             self._timers,
             self._leaf_client,
-            LeafDirectory(),
+            LeafDirectory(settings.leaf_heartbeat_ms),
             LeafChoice(settings.zone, self._random),
             _extra_attempt_limit(settings),
             ZoneReachability(settings.zone),
@@ -254,6 +254,11 @@
             lambda: gateway.version,
         )
         gauge("leafs_known", "Leafs in the directory.", lambda: len(context.directory))
+        gauge(
+            "leaf_removals_held",
+            "Leafs whose entries are gone but kept for the grace time.",
+            lambda: context.directory.pending_removal_count,
+        )
         gauge(
             "leafs_limited",
             "Leafs that state a limit on requests.",
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..decisions.leaf_directory import DEFAULT_HEARTBEAT_MS
 from ..errors import SettingsError
 
 if TYPE_CHECKING:
@@ -102,6 +103,8 @@
         IP addresses of some VMs with a daemon; may be out of date.
     first_start : bool
         Whether the whole system is being started for the first time.
+    leaf_heartbeat_ms : float
+        Period of the leafs' heartbeats to the store.
     capacity : VmCapacity
         Processor and link of the VM.
     bounds : GuaranteeBounds
@@ -117,6 +120,7 @@
     queries: Endpoint
     seeds: tuple[str, ...]
     first_start: bool
+    leaf_heartbeat_ms: float
     capacity: VmCapacity
     bounds: GuaranteeBounds
 
@@ -160,6 +164,7 @@
         queries=Endpoint(fields.text("ip"), fields.peer_port("port_range", 1)),
         seeds=fields.hosts("seeds"),
         first_start=fields.flag("bootstrap"),
+        leaf_heartbeat_ms=fields.number("heartbeat_ms", DEFAULT_HEARTBEAT_MS),
         capacity=VmCapacity(
             # A share of each core, and how many times as fast as usual they are.
             cores=fields.number("limits.cpu_share", 1.0)
--- a/src/snipemount/serving/store_subscribers.py
+++ b/src/snipemount/serving/store_subscribers.py
@@ -116,6 +116,7 @@
         decoded = (self._decode(stored) for stored in objects)
         leafs = [leaf for leaf in decoded if leaf is not None]
         self._drop(self.context.directory.replace_all(leafs, now_ms), "not_listed")
+        self._log_held(self.context.directory.pending_removal_count)
 
     def changed(self, stored: StoredObject) -> None:
         """Add or update a leaf; an entry that cannot be decoded counts as removed."""
@@ -146,6 +147,8 @@
         self.context.directory.store_responded(now_ms)
         removals, self.pending_removals = sorted(self.pending_removals), set()
         self._drop(self.context.directory.remove_all(removals, now_ms), "removed")
+        self._log_held(len(removals))
+        self.remove_expired()
 
     def store_unreachable(self, reason: str) -> None:
         """Record that the store does not respond: entries may lapse while leafs run."""
@@ -159,6 +162,11 @@
         gone = self.context.directory.remove_expired(self.context.timers.now_ms())
         self._drop(gone, "not_back_after_outage")
 
+    def _log_held(self, reported: int) -> None:
+        held = self.context.directory.pending_removal_count
+        if reported and held:
+            self.logger.info("leaf_removals_held", reported=reported, held=held)
+
     def _drop(self, leafs: list[Leaf], reason: str) -> None:
         for leaf in leafs:
             self.context.leafs.close_idle(leaf)
--- a/tests/serving/directory.feature
+++ b/tests/serving/directory.feature
@@ -68,3 +68,35 @@
     And a query is asked
     And 200 ms pass
     Then the leaf of shard 3 in zone-a did not get the query
+
+  # Each watch of the store that was cut off counted as an outage: a leaf that was gone kept
+  # its requests for as long as that went on (review, case 5).
+  Scenario Outline: Calls that fail between responses of the store do not prolong a removal
+    Given a directory with 12 leafs, fed by the store
+    When the entry of a leaf is removed while <calls> calls <gap> ms apart fail for <span> ms each
+    Then its requests ended within 3000 ms
+
+    Examples:
+      | calls | gap  | span |
+      | 1     | 2900 | 200  |
+      | 4     | 2000 | 400  |
+      | 6     | 500  | 200  |
+      | 6     | 2150 | 250  |
+      | 3     | 2900 | 400  |
+
+  Scenario: Many removals one after the other do not prolong each other
+    Given a directory with 40 leafs, fed by the store
+    When 12 entries are removed each 1500 ms, 3 times
+    Then each of these leafs got no request 2500 ms after its removal
+
+  Scenario: Entries that lapsed before a second outage have the grace time again after it
+    Given a directory with 12 leafs, fed by the store
+    When the store does not respond for 5000 ms
+    And the store responds again and lists 4 of the leafs
+    And 500 ms pass
+    And the store does not respond for 5000 ms
+    And the store responds again and lists 4 of the leafs
+    And 1500 ms pass
+    And all entries are put again
+    And 5000 ms pass
+    Then the directory has 12 leafs
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -69,6 +69,16 @@
     And 0.1 s pass for them
     Then no daemon would send a request to leaf-1
 
+  # A leaf that was gone kept its requests for 4.6 s: each watch that was cut off counted as
+  # an outage and began its grace time anew (review, case 5).
+  Scenario: A leaf that is gone gets no requests though watches are cut off
+    Given 6 daemons in 2 zones, fed by one store
+    When 5 s pass for them
+    And the store cuts off the waiting watches of leafs 3 times, 2 s apart
+    And 0.05 s pass for them
+    And the entry of leaf-1 is removed
+    Then from 3 s to 8 s later no daemon would send a request to leaf-1
+
   Scenario: A zone taken out gets no requests from any daemon
     Given 6 daemons in 2 zones, fed by one store
     When 5 s pass for them
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 import attrs
@@ -15,6 +16,7 @@
 from snipemount.decisions.shares import share_of
 from snipemount.errors import DecodeError
 from snipemount.ports.platform import Kind, StoredObject
+from snipemount.serving.store_feed import CHECK_PERIOD_MS
 from snipemount.serving.store_subscribers import LeafSubscriber
 
 WINDOW_MS = 10_000.0
@@ -53,6 +55,7 @@
     ]
     context.feed.listed(tuple(entry_of(leaf) for leaf in context.entries))
     context.feed.confirmed()
+    context.gone_ms = {}
     run_with_store(context, 4000.0)
 
 
@@ -106,6 +109,61 @@
     context.feed.confirmed()
 
 
+@when(
+    "the entry of a leaf is removed while {calls:d} calls {gap_ms:g} ms apart fail for "
+    "{span_ms:g} ms each"
+)
+def step_removed_between_failures(context, calls, gap_ms, span_ms):
+    removed_ms = 0.0
+    for number in range(calls):
+        run_in_checks(context, gap_ms)
+        context.feed.store_unreachable("ServerDisconnectedError")
+        if number == 0:
+            removed_ms = context.serving.timers.now_ms()
+            context.feed.removed("leaf-0")
+        run_in_checks(context, span_ms)
+        context.feed.confirmed()
+    run_in_checks(context, 3000.0)
+    context.ended_ms = context.gone_ms["leaf-0"] - removed_ms
+
+
+def run_in_checks(context, span_ms):
+    """Advance the time with the periodic check; note when leafs get no more requests."""
+    end_ms = context.serving.timers.now_ms() + span_ms
+    while context.serving.timers.now_ms() < end_ms:
+        now_ms = context.serving.timers.now_ms()
+        if now_ms % CHECK_PERIOD_MS == 0.0:
+            context.feed.remove_expired()
+        for leaf in context.entries:
+            if context.serving.directory.find(leaf.leaf_id) is None:
+                context.gone_ms.setdefault(leaf.leaf_id, now_ms)
+        context.serving.run_for(50.0)
+
+
+@when("{count:d} entries are removed each {gap_ms:g} ms, {times:d} times")
+def step_many_removed(context, count, gap_ms, times):
+    context.removed_ms = {}
+    for number in range(times):
+        for leaf in context.entries[number * count : (number + 1) * count]:
+            context.feed.removed(leaf.leaf_id)
+            context.removed_ms[leaf.leaf_id] = context.serving.timers.now_ms()
+        context.feed.confirmed()
+        run_in_checks(context, gap_ms)
+    run_in_checks(context, 3000.0)
+
+
+@then("each of these leafs got no request {within_ms:g} ms after its removal")
+def step_each_gone(context, within_ms):
+    for leaf_id, removed_ms in context.removed_ms.items():
+        took_ms = context.gone_ms.get(leaf_id, math.inf) - removed_ms
+        assert took_ms <= within_ms, (leaf_id, took_ms)
+
+
+@then("its requests ended within {within_ms:g} ms")
+def step_ended(context, within_ms):
+    assert context.ended_ms <= within_ms, context.ended_ms
+
+
 @when("leaf 0 drains")
 def step_drains(context):
     leaf = attrs.evolve(context.entries[0], draining=True)
--- a/tests/steps/feed_call_steps.py
+++ b/tests/steps/feed_call_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from feed_steps import add_daemon, followed_in, would_send
 
-from snipemount.ports.platform import Kind
+from snipemount.ports.platform import Failed, Kind
 
 
 def restart(context, daemon, host=""):
@@ -51,6 +51,27 @@
     followed.platform.cut_off = True
 
 
+@when(
+    "the store cuts off the waiting watches of leafs {times:d} times, {gap_s:g} s apart"
+)
+def step_cut_off(context, times, gap_s):
+    def cut_off():
+        for daemon in context.fed:
+            feed = daemon.feed._kinds[Kind.LEAF]
+            if feed._active_watch is not None:
+                feed._active_watch.cancel()
+                feed._on_event(Failed("ServerDisconnectedError"))
+
+    cut_off()
+    for number in range(1, times):
+        context.timers.call_later(number * gap_s * 1000.0, cut_off)
+
+
+@when("the entry of {name} is removed")
+def step_entry_removed(context, name):
+    context.store.delete(Kind.LEAF, name)
+
+
 @when("the daemon that {zone} follows is without the store")
 def step_followed_without_store(context, zone):
     followed_in(context, zone).platform.cut_off = True
