State ages: each kind has the operators' bound of its own

Cause: the limit on the age of the state came from the bound on taking zones out (5 s) for all kinds; config_apply_ms was not read, drain_ms not used. Evidence: relay_outdated age_ms=4208, configuration_in_force 3 ms later. Ruled out: a relay that hides its loss (no relay_lost before), a slow read (3 ms). Change: limits by kind; the first in line of a zone gives an old relay up first and the others follow it, so that 28 followers don't call the store all at once; the first watch of an old state is answered at once.

--- a/src/snipemount/daemon.py
+++ b/src/snipemount/daemon.py
@@ -62,6 +62,7 @@
             StoreAddress(platform.url, platform.call_timeout_ms),
             NoServingMetrics(),
             self._timers,
+            {},
         )
         ports = Ports(self._backend, self._peers, self._platform, self._timers)
         seeds = tuple(
--- a/src/snipemount/decisions/state_age.py
+++ b/src/snipemount/decisions/state_age.py
@@ -11,17 +11,22 @@
 MAX_AGE_SHARE = 0.8
 MAX_AGE_MS = 4000.0
 LAZY_WATCH_SHARE = 0.9  # of the maximum age, up to which a watch may be delayed
+# Of the maximum age, at which the first daemon in line reads the store for the others.
+EARLY_AGE_SHARE = 0.85
+# For a daemon in line to hand over its current state, until the store itself is called.
+OUTDATED_SEEK_MS = 150.0
 MAX_WATCH_DELAY_MS = 700.0  # for another daemon to be found and followed
 # For each daemon that comes before, until one that has lost its relay calls the store.
 STORE_DELAY_MS = 300.0
 MAX_STORE_DELAY_MS = 3000.0
+PROBE_WAIT_MS = 200.0
 # A watch that has reported nothing for so long after its wait is not alive.
 WATCH_SILENCE_MS = 1000.0
 
 
 @attrs.frozen
 class StateAgeLimits:
-    """Limits that let a daemon heed operators' orders within their bound.
+    """Limits that let a daemon heed changes of one kind within the operators' bound.
 
     Parameters
     ----------
@@ -36,12 +41,24 @@
 
     @classmethod
     def for_bound(cls, bound_ms: float) -> StateAgeLimits:
-        """Return the limits for the time within which orders have to be heeded."""
+        """Return the limits for the time within which changes have to be heeded."""
         return cls(
             min(MAX_WATCH_WAIT_MS, WATCH_WAIT_SHARE * bound_ms),
             min(MAX_AGE_MS, MAX_AGE_SHARE * bound_ms),
         )
 
+    def age_limit_ms(self, first_in_line: bool) -> float:
+        """Return the age at which a daemon gives the followed daemon's state up.
+
+        Parameters
+        ----------
+        first_in_line : bool
+            Whether the others of the zone would follow this daemon next. It comes
+            first, so that they find a current state with it instead of calling the
+            store all at once.
+        """
+        return EARLY_AGE_SHARE * self.max_age_ms if first_in_line else self.max_age_ms
+
     def watch_delay_ms(self, age_ms: float) -> float:
         """Return when to begin the watch of a kind that changes rarely.
 
@@ -72,6 +89,11 @@
         delay_ms = min(MAX_STORE_DELAY_MS, STORE_DELAY_MS * preceding)
         return max(0.0, min(delay_ms, left_ms))
 
+    @property
+    def probe_age_ms(self) -> float:
+        """Age from which on a watch is answered soon, to learn whether it does."""
+        return self.watch_wait_ms - PROBE_WAIT_MS
+
     @property
     def max_offered_age_ms(self) -> float:
         """Age from which another daemon's state is not taken over."""
@@ -83,4 +105,4 @@
         return self.watch_wait_ms + WATCH_SILENCE_MS
 
 
-__all__ = ["StateAgeLimits"]
+__all__ = ["MAX_WATCH_WAIT_MS", "OUTDATED_SEEK_MS", "StateAgeLimits"]
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -121,12 +121,12 @@
             self._coordinators,
         )
         store = settings.store
-        age_limits = StateAgeLimits.for_bound(settings.bounds.zone_out_ms)
+        age_limits = _age_limits(settings)
         self._store = StoreClient(
             StoreAddress(f"http://{store.host}:{store.port}"),
             self._metrics,
             self._timers,
-            age_limits.watch_wait_ms,
+            {kind: limits.watch_wait_ms for kind, limits in age_limits.items()},
         )
         peers = settings.peers
         self._relay = WebsocketRelay(
@@ -371,6 +371,17 @@
     )
 
 
+def _age_limits(settings: NodeSettings) -> dict[Kind, StateAgeLimits]:
+    bounds = settings.bounds
+    bounds_ms = {
+        Kind.CONFIGURATION: bounds.configuration_ms,
+        Kind.LEAF: bounds.drain_ms,
+        Kind.ZONE_ORDER: bounds.zone_out_ms,
+        Kind.VERSION_ORDER: bounds.version_back_ms,
+    }
+    return {kind: StateAgeLimits.for_bound(ms) for kind, ms in bounds_ms.items()}
+
+
 def _cold_limit(settings: NodeSettings) -> ColdLimit:
     return ColdLimit(settings.bounds.cold_load_ratio, settings.bounds.cold_slack_per_s)
 
--- a/src/snipemount/experiments/fake_platform.py
+++ b/src/snipemount/experiments/fake_platform.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections import deque
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import attrs
 
+from ..decisions.state_age import MAX_WATCH_WAIT_MS
 from ..ports.platform import Confirmed, Expired, Failed, Kind, PlatformPort, Watch
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from ..ports.platform import ListResult, ReadResult, WatchEvent, WriteResult
     from ..standins.object_store import LogEntry, ObjectStore
@@ -19,7 +21,6 @@
 T = TypeVar("T")
 PLATFORM_LATENCY_MS = 2.0
 PLATFORM_TIMEOUT_MS = 1000.0
-WATCH_CONFIRMATION_PERIOD_MS = 3000.0
 MIN_CONFIRMATION_MS = 200.0
 STALE_COPY_PERIOD_MS = 50.0
 
@@ -93,6 +94,8 @@
         Timers of the daemon's process.
     faults : PlatformFaults
         Injected faults, shared by all daemons.
+    watch_wait_ms : mapping of Kind to float
+        Longest wait of a watch of a kind; `MAX_WATCH_WAIT_MS` for others.
 
     Attributes
     ----------
@@ -101,11 +104,16 @@
     """
 
     def __init__(
-        self, store: ObjectStore, timers: TimerService, faults: PlatformFaults
+        self,
+        store: ObjectStore,
+        timers: TimerService,
+        faults: PlatformFaults,
+        watch_wait_ms: Mapping[Kind, float] = MappingProxyType({}),
     ) -> None:
         self._store = store
         self._timers = timers
         self._faults = faults
+        self._watch_wait_ms = watch_wait_ms
         self.cut_off = False
 
     @property
@@ -197,9 +205,11 @@
             event = Failed("the platform is down") if self._down else Expired()
             self._timers.call_later(PLATFORM_LATENCY_MS, lambda: on_event(event))
             return Watch(lambda: None)
-        confirmations = self._timers.call_every(WATCH_CONFIRMATION_PERIOD_MS, confirm)
-        first_ms = WATCH_CONFIRMATION_PERIOD_MS - state_age_ms
-        first = self._timers.call_later(max(MIN_CONFIRMATION_MS, first_ms), confirm)
+        wait_ms = self._watch_wait_ms.get(kind, MAX_WATCH_WAIT_MS)
+        confirmations = self._timers.call_every(wait_ms, confirm)
+        least_ms = MIN_CONFIRMATION_MS if state_age_ms <= wait_ms else 0.0
+        first_ms = max(PLATFORM_LATENCY_MS + least_ms, wait_ms - state_age_ms)
+        first = self._timers.call_later(first_ms, confirm)
         for entry in missed:
             forward(entry)
 
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -66,6 +66,10 @@
         Requests per second to a cold leaf allowed on top.
     zone_out_ms : float
         Time after which no request may reach a zone that operators have taken out.
+    configuration_ms : float
+        Time after which no request may be handled by an older configuration.
+    version_back_ms : float
+        Time after which a bad version may get no more requests.
     """
 
     drain_ms: float
@@ -77,6 +81,8 @@
     cold_load_ratio: float
     cold_slack_per_s: float
     zone_out_ms: float
+    configuration_ms: float
+    version_back_ms: float
 
 
 @attrs.frozen
@@ -182,6 +188,8 @@
             cold_load_ratio=fields.number("bounds.cold_over", 1.0),
             cold_slack_per_s=fields.number("bounds.cold_slack", 0.0),
             zone_out_ms=fields.number("bounds.evacuate_ms", 5000.0),
+            configuration_ms=fields.number("bounds.config_apply_ms", 3000.0),
+            version_back_ms=fields.number("bounds.rollback_ms", 5000.0),
         ),
     )
 
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -43,7 +43,8 @@
 # On top of a watch's wait, until the call times out: an unresponsive connection shows
 # by that alone.
 WATCH_TIMEOUT_SLACK_MS = 600.0
-MIN_WATCH_WAIT_MS = 200
+MIN_WATCH_WAIT_MS = 200.0
+NO_WAIT_MS = 1  # for a state that is too old already
 # Changes of leafs come in bursts; a pause lets the next call return several of them.
 LEAF_WATCH_PAUSE_MS = 250.0
 MS_PER_S = 1000.0
@@ -70,8 +71,9 @@
         Counts the calls by kind of call and result.
     timers : TimerService
         Clock, for the age of what a watch confirms.
-    watch_wait_ms : float
-        Longest time that a watch waits for a change before it confirms the state.
+    watch_wait_ms : dict of Kind to float
+        Longest time that a watch of a kind waits for a change before it confirms the
+        state; `MAX_WATCH_WAIT_MS` for others.
     """
 
     def __init__(
@@ -79,11 +81,11 @@
         address: StoreAddress,
         metrics: ServingMetrics,
         timers: TimerService,
-        watch_wait_ms: float = MAX_WATCH_WAIT_MS,
+        watch_wait_ms: dict[Kind, float],
     ) -> None:
         self._metrics = metrics
         self._timers = timers
-        self._watch_wait_ms = int(watch_wait_ms)
+        self._watch_wait_ms = watch_wait_ms
         self._base = address.url.rstrip("/") + OBJECTS_PATH
         self._call_timeout_s = address.call_timeout_ms / MS_PER_S
         self._timeout = aiohttp.ClientTimeout(total=self._call_timeout_s)
@@ -135,7 +137,9 @@
         state_age_ms: float = 0.0,
     ) -> Watch:
         """Report each change after `version`; `Expired` or `Failed` ends the watch."""
-        wait_ms = self._wait_for_age_ms(state_age_ms)
+        wait_ms = self._wait_for_age_ms(kind, state_age_ms)
+        if state_age_ms > self._max_wait_ms(kind):
+            wait_ms = NO_WAIT_MS
         task = self._spawn(self._watch(kind, version, on_event, wait_ms))
         return Watch(lambda: self._stop(task))
 
@@ -261,20 +265,23 @@
             else:
                 age_ms = self._state_age_ms(kind, polled, called_ms, wait_ms)
                 end, version = self._notify(polled, version, age_ms, on_event)
-                wait_ms = self._wait_for_age_ms(age_ms)
+                wait_ms = self._wait_for_age_ms(kind, age_ms)
                 if kind is Kind.LEAF and isinstance(polled, Changes) and polled.events:
                     await asyncio.sleep(LEAF_WATCH_PAUSE_MS / MS_PER_S)
         on_event(end)
 
-    def _wait_for_age_ms(self, state_age_ms: float) -> int:
+    def _max_wait_ms(self, kind: Kind) -> float:
+        return self._watch_wait_ms.get(kind, MAX_WATCH_WAIT_MS)
+
+    def _wait_for_age_ms(self, kind: Kind, state_age_ms: float) -> int:
         """Return how long a watch waits that begins with a state of this age.
 
         Without a change its response is due when the state is as old as a watch without
         changes lets it become.
         """
-        least_ms = min(MIN_WATCH_WAIT_MS, self._watch_wait_ms)
-        left_ms = self._watch_wait_ms - min(state_age_ms, self._watch_wait_ms)
-        return max(least_ms, int(left_ms))
+        longest_ms = self._max_wait_ms(kind)
+        left_ms = longest_ms - min(state_age_ms, longest_ms)
+        return int(max(min(MIN_WATCH_WAIT_MS, longest_ms), left_ms))
 
     def _state_age_ms(
         self,
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -20,6 +20,7 @@
 
     from structlog.typing import FilteringBoundLogger
 
+    from ..decisions.state_age import StateAgeLimits
     from ..model.relay import RelayMessage
     from ..ports.platform import (
         Kind,
@@ -78,13 +79,17 @@
         Called with each update that came from the store itself, to relay it.
     logger : FilteringBoundLogger
         Receives the versions of the listings applied.
-    watch_delay_ms : Callable
-        Returns how long a watch of the store is delayed for a state of an age.
+    age_limits : StateAgeLimits
+        How old the known state may become.
+    rarely_changes : bool
+        Whether a watch may be delayed, as changes are few.
     retries : StoreRetries
         Decides which of the daemon's kinds retries a failed call.
 
     Attributes
     ----------
+    age_limits : StateAgeLimits
+        How old the known state may become.
     version : int
         Version of the store up to which the objects are known; 0 before a listing.
     store_reachable : bool
@@ -103,11 +108,13 @@
         random: Random,
         on_update: Callable[[RelayMessage], None],
         logger: FilteringBoundLogger,
-        watch_delay_ms: Callable[[float], float],
+        age_limits: StateAgeLimits,
+        rarely_changes: bool,
         retries: StoreRetries,
     ) -> None:
         self._retries = retries
-        self._watch_delay_ms = watch_delay_ms
+        self._rarely_changes = rarely_changes
+        self.age_limits = age_limits
         self._platform = platform
         self.kind = kind
         self._subscriber = subscriber
@@ -140,7 +147,7 @@
         if self.version == 0:
             self._list()
         elif self._retries.in_doubt:
-            self._call_in_turn(self._watch_again)
+            self._call_in_turn(self._watch_at_first)
         else:
             self._begin_watch()
 
@@ -149,10 +156,10 @@
         self._follows_store = False
         self._stop()
 
-    def restart_if_silent(self, max_silence_ms: float) -> None:
+    def restart_if_silent(self) -> None:
         """List the kind again if neither a watch nor a call has reported for long."""
         silent_ms = self._timers.now_ms() - self._reported_ms
-        if not self._follows_store or silent_ms <= max_silence_ms:
+        if not self._follows_store or silent_ms <= self.age_limits.max_silence_ms:
             return
         self._logger.warning(
             "store_feed_silent", kind=self.kind.value, silent_ms=round(silent_ms)
@@ -265,7 +272,9 @@
 
     def _begin_watch(self) -> None:
         self._reported_ms = self._timers.now_ms()
-        delay_ms = self._watch_delay_ms(self.age_ms)
+        delay_ms = 0.0
+        if self._rarely_changes:
+            delay_ms = self.age_limits.watch_delay_ms(self.age_ms)
         if delay_ms > 0.0:
             self._timer = self._timers.call_later(delay_ms, self._watch)
         else:
@@ -273,7 +282,11 @@
 
     def _watch_again(self) -> None:
         """Watch after a failure; the store answers soon, which shows that it can."""
-        self._watch(math.inf)
+        self._watch(self.age_limits.probe_age_ms)
+
+    def _watch_at_first(self) -> None:
+        """Watch after the loss of a relay; the store answers an old state at once."""
+        self._watch(max(self.age_ms, self.age_limits.probe_age_ms))
 
     def _watch(self, age_ms: float | None = None) -> None:
         epoch = self._epoch
--- a/src/snipemount/serving/relay_following.py
+++ b/src/snipemount/serving/relay_following.py
@@ -14,6 +14,7 @@
     relay_candidates,
     succeeding_daemons,
 )
+from ..decisions.state_age import OUTDATED_SEEK_MS
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
@@ -28,7 +29,6 @@
 
     from structlog.typing import FilteringBoundLogger
 
-    from ..decisions.state_age import StateAgeLimits
     from ..model.relay import RelayMessage
     from ..ports.platform import Kind
     from ..ports.relay import DaemonAddress, RelayPort
@@ -60,8 +60,6 @@
         This daemon.
     timers : TimerService
         Clock and timers.
-    age_limits : StateAgeLimits
-        How old the known state may become.
     on_evidence : Callable
         Called with the evidence that the followed daemon relays.
     retries : StoreRetries
@@ -81,7 +79,6 @@
         kinds: dict[Kind, KindFeed],
         own: DaemonAddress,
         timers: TimerService,
-        age_limits: StateAgeLimits,
         on_evidence: Callable[[RelayEvidence], None],
         retries: StoreRetries,
         logger: FilteringBoundLogger,
@@ -91,7 +88,6 @@
         self._kinds = kinds
         self._own = own
         self._timers = timers
-        self._age_limits = age_limits
         self._on_evidence = on_evidence
         self._logger = logger
         self.followed: DaemonAddress | None = None
@@ -106,6 +102,11 @@
         self._sought_ms = 0.0
         self._rotation = CandidateRotation()
 
+    @property
+    def _preceding(self) -> list[DaemonAddress]:
+        """The daemons of the zone that come before this one."""
+        return relay_candidates(self._daemons, self._own)
+
     @property
     def has_unlisted_kind(self) -> bool:
         """Whether nothing is known yet of some kind."""
@@ -166,27 +167,37 @@
             self._check_age(self.followed)
             return
         for kind in self._kinds.values():
-            kind.restart_if_silent(self._age_limits.max_silence_ms)
+            kind.restart_if_silent()
         self._seek_if_store_is_lost()
 
     def _check_age(self, daemon: DaemonAddress) -> None:
+        """Give the followed daemon up before its state of some kind is too old.
+
+        The first in line does so before the others, which then follow that one.
+        """
         followed_ms = self._timers.now_ms() - self._followed_since_ms
-        oldest = max(self._kinds.values(), key=lambda kind: kind.age_ms)
-        if (
-            followed_ms < FIRST_CONFIRMATIONS_MS
-            or oldest.age_ms < self._age_limits.max_age_ms
-        ):
+        if followed_ms < FIRST_CONFIRMATIONS_MS:
+            return
+        others = [d for d in self._preceding if d.name != daemon.name]
+        outdated = [
+            kind
+            for kind in self._kinds.values()
+            if kind.age_ms >= kind.age_limits.age_limit_ms(first_in_line=not others)
+        ]
+        if not outdated:
             return
+        oldest = max(outdated, key=lambda kind: kind.age_ms)
         self._logger.warning(
             "relay_outdated",
             daemon_followed=daemon.name,
             kind=oldest.kind.value,
             age_ms=round(oldest.age_ms),
         )
-        # Those that follow the same daemon have the same state.
         self._relay.unfollow()
-        self._lose(daemon)
+        self._lose(daemon, OUTDATED_SEEK_MS if others else 0.0)
         self._retry_later(CATCH_UP_DELAY_MS)
+        if others:
+            self._ask_next()
 
     def _seek_if_store_is_lost(self) -> None:
         """Ask any daemon of the zone while the store turns this one away."""
@@ -208,9 +219,8 @@
         self._ask_next()
 
     def _renew_candidates(self) -> None:
-        preceding = relay_candidates(self._daemons, self._own)
-        self._retries.others_retry = bool(preceding)
-        self._candidates = self._rotation.next_of(preceding)
+        self._retries.others_retry = bool(self._preceding)
+        self._candidates = self._rotation.next_of(self._preceding)
         if not self._daemons and self.has_unlisted_kind:
             self._candidates = list(self._seeds)
 
@@ -257,7 +267,8 @@
         """Return whether the state that is offered would have to be given up soon."""
         if self.followed is not None or self.has_unlisted_kind:
             return False
-        return offered.age_ms >= self._age_limits.max_offered_age_ms
+        limits = self._kinds[offered.kind].age_limits
+        return offered.age_ms >= limits.max_offered_age_ms
 
     def _refuse(self, daemon: DaemonAddress, kind: Kind, delay_ms: float) -> None:
         """Leave a daemon whose state of a kind is outdated; seek again later."""
@@ -291,8 +302,12 @@
         if kind is not None:
             self._kinds[kind].apply(message)
 
-    def _lose(self, daemon: DaemonAddress) -> None:
-        """Record that a daemon is not followed, or not any more."""
+    def _lose(self, daemon: DaemonAddress, store_delay_ms: float | None = None) -> None:
+        """Record that a daemon is not followed, or not any more.
+
+        The store is called after a time that follows from the age of the state, unless
+        `store_delay_ms` states it.
+        """
         self._asked = None
         self._offered.clear()
         if self.followed is None:
@@ -303,9 +318,9 @@
         self._renew_candidates()
         self._candidates = [c for c in self._candidates if c.name != daemon.name]
         self._retries.in_doubt = True
-        self._timers.call_later(
-            self._store_delay_ms(), self._follow_store_unless_following
-        )
+        if store_delay_ms is None:
+            store_delay_ms = self._store_delay_ms()
+        self._timers.call_later(store_delay_ms, self._follow_store_unless_following)
 
     def _store_delay_ms(self) -> float:
         """Return how long other daemons are sought before the store is called.
@@ -314,9 +329,11 @@
         """
         if self._timers.now_ms() - self._followed_since_ms < FIRST_CONFIRMATIONS_MS:
             return 0.0
-        oldest_ms = max(kind.age_ms for kind in self._kinds.values())
-        preceding = relay_candidates(self._daemons, self._own)
-        return self._age_limits.store_delay_ms(oldest_ms, len(preceding) - 1)
+        earlier = len(self._preceding) - 1
+        return min(
+            kind.age_limits.store_delay_ms(kind.age_ms, earlier)
+            for kind in self._kinds.values()
+        )
 
     def _follow_store_unless_following(self) -> None:
         if self.followed is None:
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -55,10 +55,6 @@
 MAX_STATED_AGE_MS = 3_600_000.0  # of a state that was never confirmed, too
 
 
-def _no_delay_ms(age_ms: float) -> float:
-    return 0.0
-
-
 class StoreFeed:
     """Keeps gateway and directory up to date, and the daemons that follow this one.
 
@@ -84,8 +80,8 @@
         Receives changes of registration and feed.
     on_daemons : Callable
         Called with the registered daemons after each listing of the registry.
-    age_limits : StateAgeLimits
-        How old the known state may become.
+    age_limits : dict of Kind to StateAgeLimits
+        How old the known state of each kind may become.
 
     Attributes
     ----------
@@ -105,7 +101,7 @@
         random: Random,
         logger: FilteringBoundLogger,
         on_daemons: Callable[[tuple[DaemonAddress, ...]], None],
-        age_limits: StateAgeLimits,
+        age_limits: dict[Kind, StateAgeLimits],
     ) -> None:
         self._on_daemons = on_daemons
         self._registration = Registration(platform, own, context.timers, logger)
@@ -142,7 +138,8 @@
                 random,
                 self._publish,
                 logger,
-                age_limits.watch_delay_ms if kind in RARELY_CHANGING else _no_delay_ms,
+                age_limits[kind],
+                kind in RARELY_CHANGING,
                 retries,
             )
             for kind, subscriber in subscribers.items()
@@ -153,7 +150,6 @@
             self._kinds,
             own,
             context.timers,
-            age_limits,
             lambda evidence: self._evidence.add_reported(evidence.leafs),
             retries,
             logger,
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -148,6 +148,33 @@
     And 5 s pass for them
     Then all daemons but the first have version 7 in force
 
+  # A daemon that nothing happened to served the old configuration for 4.2 s, bound 3 s: the
+  # one that it followed was silently cut off from the store, and only the bound on taking
+  # zones out was heeded (review, case 2).
+  Scenario Outline: The daemon that is followed is silently cut off from the store
+    Given <count> daemons in 2 zones, fed by one store, whose configurations and leafs may be <bound> ms behind
+    When <after> s pass for them
+    And the calls of each daemon are counted from now on
+    And the first daemon of zone-a is silently cut off once its state is confirmed
+    And the operators write version 7
+    And the entry of leaf-1 is removed
+    And <within> s pass for them
+    Then all daemons but the first have version 7 in force
+    And no daemon but the first would send a request to leaf-1
+    And the daemons have called the store at most <calls> times but for the registry
+
+    Examples:
+      | count | bound | after | within | calls |
+      | 6     | 3000  | 5     | 2.9    | 40    |
+      | 6     | 3000  | 5.1   | 2.9    | 40    |
+      | 6     | 3000  | 5.2   | 2.9    | 40    |
+      | 6     | 2000  | 5     | 1.95   | 40    |
+      | 6     | 5000  | 5.1   | 4.5    | 40    |
+      | 58    | 3000  | 5     | 2.9    | 40    |
+      | 58    | 3000  | 5.1   | 2.9    | 40    |
+      | 58    | 5000  | 5     | 4.5    | 40    |
+      | 58    | 5000  | 5.2   | 4.5    | 40    |
+
   Scenario: A daemon restarted alone knows at once how many daemons share the limits
     Given 6 daemons in 2 zones, fed by one store
     When 5 s pass for them
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -128,7 +128,7 @@
 
 
 def run_in_checks(context, span_ms):
-    """Advance the time with the periodic check; note when leafs get no more requests."""
+    """Advance the time with the periodic check; note when leafs are dropped."""
     end_ms = context.serving.timers.now_ms() + span_ms
     while context.serving.timers.now_ms() < end_ms:
         now_ms = context.serving.timers.now_ms()
--- a/tests/steps/feed_call_steps.py
+++ b/tests/steps/feed_call_steps.py
@@ -7,7 +7,8 @@
 from behave import then, when
 from feed_steps import add_daemon, followed_in, would_send
 
-from snipemount.ports.platform import Failed, Kind
+from snipemount.model.relay import RelayConfirmation
+from snipemount.ports.platform import Failed, Kind, Watch
 
 
 def restart(context, daemon, host=""):
@@ -67,6 +68,18 @@
         context.timers.call_later(number * gap_s * 1000.0, cut_off)
 
 
+@when("the first daemon of zone-a is silently cut off once its state is confirmed")
+def step_silently_cut_off(context):
+    for feed in context.fed[0].feed._kinds.values():
+        feed._update(RelayConfirmation(feed.kind, feed.version, 0.0))
+        feed._epoch += 1
+        if feed._timer is not None:
+            feed._timer.cancel()
+    platform = context.fed[0].platform
+    platform.watch = lambda *args, **options: Watch(lambda: None)
+    platform.list_all = platform.read = lambda *args, **options: None
+
+
 @when("the entry of {name} is removed")
 def step_entry_removed(context, name):
     context.store.delete(Kind.LEAF, name)
@@ -147,6 +160,18 @@
             assert state_calls(daemon) <= most, (daemon.address.name, daemon.calls)
 
 
+@then("no daemon but the first would send a request to {name}")
+def step_others_no_request(context, name):
+    senders = [d.address.name for d in context.fed[1:] if would_send(d, name)]
+    assert not senders, senders
+
+
+@then("the daemons have called the store at most {most:d} times but for the registry")
+def step_total_state_calls(context, most):
+    calls = {daemon.address.name: state_calls(daemon) for daemon in context.fed}
+    assert sum(calls.values()) <= most, calls
+
+
 @then("the daemons have called the store at most {most:d} times")
 def step_total_calls(context, most):
     total = sum(sum(daemon.calls.values()) for daemon in context.fed)
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -65,7 +65,9 @@
     world.serving_context.limit_shares = LimitShares(world.serving_context.own_name)
     host = host or f"10.0.0.{number}"
     address = DaemonAddress(f"daemon-{number}", zone, host, 1)
-    platform = FakePlatform(context.store, context.timers, context.faults)
+    limits = context.age_limits
+    waits_ms = {kind: kind_limits.watch_wait_ms for kind, kind_limits in limits.items()}
+    platform = FakePlatform(context.store, context.timers, context.faults, waits_ms)
     feeds = []
     relay = context.relays.add(
         address.host,
@@ -84,7 +86,7 @@
         Random(number),
         logger,
         lambda daemons: None,
-        StateAgeLimits(),
+        limits,
     )
     feeds.append(feed)
     feed.start(first_start)
@@ -100,6 +102,22 @@
 
 @given("{count:d} daemons in {zones:d} zones, fed by one store")
 def step_fed(context, count, zones):
+    feed_daemons(context, count, zones, StateAgeLimits())
+
+
+@given(
+    "{count:d} daemons in {zones:d} zones, fed by one store, whose configurations and "
+    "leafs may be {bound_ms:g} ms behind"
+)
+def step_fed_within(context, count, zones, bound_ms):
+    feed_daemons(context, count, zones, StateAgeLimits.for_bound(bound_ms))
+
+
+def feed_daemons(context, count, zones, changing_often):
+    """Start daemons that all use one store and know how old its state may become."""
+    context.age_limits = dict.fromkeys(Kind, StateAgeLimits())
+    for kind in (Kind.CONFIGURATION, Kind.LEAF):
+        context.age_limits[kind] = changing_often
     world = ServingWorld()
     context.timers = world.timers
     context.store = ObjectStore()
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -169,7 +169,7 @@
         StoreAddress(f"http://127.0.0.1:{port}"),
         PrometheusMetrics(),
         LoopTimers(asyncio.get_running_loop()),
-        watch_wait_ms,
+        dict.fromkeys(Kind, watch_wait_ms),
     )
     try:
         await use(client)
