Loads that no leaf can have are not read, and a fault ends only its request

Cause: the header's integers had no bound; above 1e308 the choice of a leaf raised OverflowError for every request. Evidence: the traceback, one for each request; no line of the daemon's own log. Ruled out: a lost answer (it was served), paused leafs (would be 503). Change: bounds on the load and on the stated keep-alive time; finite numbers only in messages between daemons; reported slowness is bounded. A request that raises as it starts is logged and its attempts are cancelled.

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -34,7 +34,7 @@
     RequestRefused,
 )
 from ..ports.platform import Kind
-from .relay_codec import decode_object, encode_object
+from .relay_codec import decode_object, encode_object, finite
 
 QUERY = 0
 ACCEPTED = 1
@@ -123,7 +123,7 @@
         return QueryRunning(_integer(*fields))
     if tag == ENDED:
         query_id, outcome, ran_ms = fields
-        return QueryEnded(_integer(query_id), _decode_outcome(outcome), float(ran_ms))
+        return QueryEnded(_integer(query_id), _decode_outcome(outcome), finite(ran_ms))
     if tag == CANCELLED:
         return QueryCancelled(_integer(*fields))
     if tag == STOPPING and not fields:
@@ -172,15 +172,15 @@
         host=_to_text(host),
         headers=tuple((_to_text(name), _to_text(value)) for name, value in headers),
         body=body,
-        deadline_ms=None if deadline_ms is None else float(deadline_ms),
+        deadline_ms=None if deadline_ms is None else finite(deadline_ms),
     )
     return DelegatedQuery(
         _integer(query_id),
         str(sender),
         request,
         _integer(version),
-        float(answer_within_ms),
-        float(time_left_ms),
+        finite(answer_within_ms),
+        finite(time_left_ms),
         _integers(attempts),
     )
 
@@ -215,7 +215,7 @@
         return Merged(texts, _integer(missing), body)
     if tag == REFUSED:
         reason, retry_after_ms = rest
-        return RequestRefused(_refusal_reason(reason), float(retry_after_ms))
+        return RequestRefused(_refusal_reason(reason), finite(retry_after_ms))
     if tag == FAILED:
         (failure,) = rest
         return RequestFailed(FailureReason(failure))
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leaf_state.py
@@ -213,7 +213,8 @@
         """Merge the slowness reported by another daemon, if it is higher."""
         known = self.slowness(now_ms)
         if slowness > known:
-            self._slowness = known + REPORTED_SLOWNESS_WEIGHT * (slowness - known)
+            bounded = min(MAX_SLOWNESS, slowness)
+            self._slowness = known + REPORTED_SLOWNESS_WEIGHT * (bounded - known)
             self._slowness_at_ms = now_ms
 
     def take_unreported_slowness(self) -> float:
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -38,6 +38,8 @@
 # Before the first response, which states the leaf's timeout; a leaf with a shorter one
 # closes the connection itself.
 UNUSED_IDLE_LIMIT_MS = 8000.0
+MAX_IDLE_LIMIT_MS = 3_600_000.0
+MAX_LOAD = 100_000  # requests or slots of one leaf
 IDLE_LIMIT_SHARE = 0.8  # of the leaf's timeout, which is stated in whole seconds
 # Few are needed, because the legs of a query are sent one after the other.
 MAX_CACHED_HEADS = 8
@@ -298,12 +300,17 @@
 
 
 def parse_load(text: str) -> LoadReport | None:
-    """Return the load in a response's header, or None if absent or malformed."""
+    """Return the load in a response's header, or None if absent or malformed.
+
+    A number that no leaf can mean is malformed: it would weigh on the choice of leafs.
+    """
     fields = text.split(",")
     try:
         running, waiting, slots = (int(field) for field in fields)
     except ValueError:
         return None
+    if not all(0 <= number <= MAX_LOAD for number in (running, waiting, slots)):
+        return None
     return LoadReport(running, waiting, slots)
 
 
@@ -315,8 +322,8 @@
 def _idle_limit_ms(keep_alive: str) -> float:
     for field in keep_alive.split(","):
         name, _, value = field.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value) * MS_PER_S * IDLE_LIMIT_SHARE
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(MAX_IDLE_LIMIT_MS, float(value) * MS_PER_S * IDLE_LIMIT_SHARE)
     return DEFAULT_IDLE_LIMIT_MS
 
 
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -14,7 +14,13 @@
     ToService,
     ToWeightedServices,
 )
-from ..model.forwarding import RefusalReason, RequestRefused, UnknownRoute
+from ..model.forwarding import (
+    FailureReason,
+    RefusalReason,
+    RequestFailed,
+    RequestRefused,
+    UnknownRoute,
+)
 from .context import RETRY_AFTER_MS
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
@@ -250,8 +256,11 @@
     ) -> Run:
         started_ms = self._context.timers.now_ms()
         version = self.version
+        has_ended = False
 
         def on_ended(outcome: RequestOutcome) -> None:
+            nonlocal has_ended
+            has_ended = True
             now_ms = self._context.timers.now_ms()
             ended = EndedRequest(
                 request,
@@ -268,7 +277,16 @@
             done(outcome)
 
         run = make_run(on_ended)
-        run.start()
+        try:
+            run.start()
+        except Exception as error:
+            # A fault of the program: what was sent must not run on without a caller.
+            run.cancel()
+            self._context.logger.error(
+                "request_raised", request=request.request_id, error=repr(error)[:200]
+            )
+            if not has_ended:
+                on_ended(RequestFailed(FailureReason.LEAF_LOST))
         return run
 
     def _make_run(
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -135,6 +135,28 @@
     When the leaf responds to another request with the limit 3 and closes
     Then no limit is read
 
+  # One spoilt number made each later choice of a leaf raise: 500 for every request to the
+  # service (review, case 3).
+  Scenario Outline: A load that no leaf can have is not read
+    Given a connection to a leaf with a pending request
+    When the leaf responds with status 200 and the field X-Server-Load: <load>
+    Then the load read is <read>
+
+    Examples:
+      | load         | read   |
+      | 2,3,4        | 2,3,4  |
+      | 0,0,0        | 0,0,0  |
+      | 1e999,0,1    | none   |
+      | -1,0,1       | none   |
+      | 0,-7,1       | none   |
+      | 9999999,0,1  | none   |
+      | 0,9999999,1  | none   |
+      | 0,0,9999999  | none   |
+      | 1,2          | none   |
+
+  Scenario: Whatever a leaf states in the headers of an answer, requests are served
+    Then after any load, limit, rest and time to keep a connection other leafs serve
+
   # A leaf stopped in the middle of its head and closed: callers must not get a whole 200.
   Scenario: A response that ends before its head does is no answer, wherever it ends
     Then a response that ends anywhere in its head and is closed is no answer
--- a/tests/serving/single.feature
+++ b/tests/serving/single.feature
@@ -87,3 +87,17 @@
     When packets to the ledger's leafs are not dropped any more
     And 2000 ms pass
     Then it was sent 0 times
+
+  Scenario Outline: A fault of the program while a request starts leaves nothing running
+    Given a serving path with two leafs a shard
+    When the choice of a leaf raises from the <nth>th time on
+    And a "<route>" request is asked
+    Then it has failed, and is not reported as not run
+    And no leaf is working on a request
+    And one log line names the request that raised
+
+    Examples:
+      | nth | route |
+      | 1   | look  |
+      | 1   | find  |
+      | 3   | find  |
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -5,19 +5,26 @@
 import asyncio
 
 from behave import given, then, when
+from hypothesis import example, settings
 from hypothesis import given as for_any
 from hypothesis import strategies as st
-from serving_world import make_leaf
+from serving_world import ServingWorld, make_leaf
 
 from snipemount.model.forwarding import (
+    Forwarded,
     ForwardRequest,
     LeafAnswer,
+    Merged,
     NotRun,
     NoValidResponse,
 )
 from snipemount.model.leaf_notice import NoLimit, RequestLimit, UnreadableLimit
 from snipemount.platform.leaf_client import LeafClient
-from snipemount.platform.leaf_connection import LeafConnection, LeafConnectionState
+from snipemount.platform.leaf_connection import (
+    MAX_IDLE_LIMIT_MS,
+    LeafConnection,
+    LeafConnectionState,
+)
 from snipemount.platform.pending_bytes import PendingBytes
 from snipemount.timers import VirtualTimers
 
@@ -169,6 +176,72 @@
     context.connection.data_received(make_stating(status, [field]))
 
 
+@then("the load read is {read}")
+def step_load_read(context, read):
+    (report,) = context.reports
+    assert isinstance(report.outcome, LeafAnswer), report
+    load = report.load
+    text = "none" if load is None else f"{load.running},{load.waiting},{load.slots}"
+    assert text == read, report
+
+
+@then("after any load, limit, rest and time to keep a connection other leafs serve")
+def step_any_statement(context):
+    digits = st.integers(1, 400).map(lambda count: "9" * count)
+    odd_numbers = st.sampled_from(
+        [
+            "",
+            "-1",
+            "nan",
+            "inf",
+            "-inf",
+            "1e308",
+            "1.7e308",
+            "1e-320",
+            "0",
+            "\xb2",
+            "1_0",
+        ]
+    )
+    numbers = digits | odd_numbers | st.integers().map(str)
+    loads = st.lists(numbers, max_size=4).map(",".join)
+    loop = asyncio.new_event_loop()
+
+    @settings(deadline=None, max_examples=150)
+    @for_any(loads, numbers, numbers, numbers, st.sampled_from([200, 503]))
+    @example("9" * 400 + ",0,1", "1", "1", "9" * 400, 200)
+    @example("0,0,1", "1.7e308", "1e308", "\xb2", 503)
+    def check(load, limit, rest, keep, status):
+        fields = [
+            f"X-Server-Load: {load}",
+            f"Server-Limit: {limit}",
+            f"Retry-After: {rest}",
+            f"Keep-Alive: timeout={keep}",
+        ]
+        connection, reports, _ = begin_request(loop)
+        connection.data_received(make_stating(status, fields))
+        (report,) = reports
+        assert isinstance(report.outcome, LeafAnswer | NotRun), report
+        assert 0.0 <= connection.idle_limit_ms <= MAX_IDLE_LIMIT_MS
+        check_others_serve(report)
+
+    check()
+    loop.close()
+
+
+def check_others_serve(report):
+    """Check that queries and requests are served after a leaf has reported this."""
+    world = ServingWorld()
+    world.start()
+    for leaf_id in ("ledger-0", "shard0-zone-a"):
+        script = world.leafs.scripts[leaf_id]
+        script.load, script.notice = report.load, report.notice
+    for route in ("look", "find") * 8:
+        sample = world.ask(route)
+        world.run_for(200.0)
+        assert isinstance(sample.outcome, Forwarded | Merged), (sample, world.lines)
+
+
 @then("the leaf wants nothing for {rest_ms:g} ms")
 def step_rest_read(context, rest_ms):
     (report,) = context.reports
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import count as count_up
+
 from behave import given, then, when
 from serving_world import (
     ROUTES,
@@ -210,6 +212,27 @@
     context.serving.directory.put(leaf, context.serving.timers.now_ms())
 
 
+@when("the choice of a leaf raises from the {nth:d}th time on")
+def step_choice_raises(context, nth):
+    choice = context.serving.serving_context.choice
+    pick = choice.pick
+    picks = count_up(1)
+
+    def raising(*args):
+        if next(picks) >= nth:
+            raise OverflowError("int too large to convert to float")
+        return pick(*args)
+
+    choice.pick = raising
+
+
+@then("one log line names the request that raised")
+def step_raised_line(context):
+    lines = [x for x in context.serving.lines if x["event"] == "request_raised"]
+    (line,) = lines
+    assert line["request"] == context.serving.samples[-1].request_id, lines
+
+
 @when("the caller leaves")
 def step_caller_leaves(context):
     last(context).run.cancel()
--- a/tests/steps/state_age_steps.py
+++ b/tests/steps/state_age_steps.py
@@ -4,12 +4,21 @@
 
 import cbor2
 from behave import then
+from serving_world import make_leaf
 
+from snipemount.adapters.delegation_codec import (
+    ENDED,
+    QUERY,
+    REFUSED,
+    decode_delegation,
+)
 from snipemount.adapters.relay_codec import (
     CONFIRMATION,
+    EVIDENCE,
     decode_relay,
     encode_relay,
 )
+from snipemount.decisions.leaf_state import LeafState
 from snipemount.decisions.state_age import StateAgeLimits
 from snipemount.errors import DecodeError
 from snipemount.model.relay import RelayConfirmation
@@ -46,3 +55,48 @@
         except DecodeError:
             continue
         raise AssertionError(f"{decoded} was accepted")
+
+
+ODD_NUMBERS = (float("nan"), float("inf"), 10**400)
+
+
+def is_refused(decode, document):
+    """Return whether a decoder refuses a CBOR document."""
+    try:
+        decode(cbor2.dumps(document))
+    except DecodeError:
+        return True
+    return False
+
+
+@then("evidence with a slowness of nan, inf or a number of 400 digits is refused")
+def step_odd_evidence(context):
+    for number in ODD_NUMBERS:
+        assert is_refused(decode_relay, [EVIDENCE, [["leaf-0", number]]]), number
+
+
+@then("a query, an answer and a refusal of another daemon with such a time are refused")
+def step_odd_times(context):
+    refused = [REFUSED, "no_leaf", 5.0]
+    request = [b"r1", "GET", b"/a", b"h", [], b"", 900.0]
+    query = [QUERY, 1, "daemon-1", 1, 50.0, 900.0, [], *request]
+    assert not is_refused(decode_delegation, query)
+    assert not is_refused(decode_delegation, [ENDED, 1, refused, 5.0])
+    for number in ODD_NUMBERS:
+        for position in (4, 5, -1):
+            odd = list(query)
+            odd[position] = number
+            assert is_refused(decode_delegation, odd), odd
+        assert is_refused(decode_delegation, [ENDED, 1, refused, number])
+        odd_refusal = [REFUSED, "no_leaf", number]
+        assert is_refused(decode_delegation, [ENDED, 1, odd_refusal, 5.0])
+
+
+@then(
+    "{span_s:g} s after a report of a slowness of {reported:g} a leaf counts as less "
+    "than {most:g} times slow"
+)
+def step_exaggerated(context, span_s, reported, most):
+    state = LeafState(make_leaf("leaf-0", "ledger"), 0.0)
+    state.slowness_reported(reported, 0.0)
+    assert state.slowness(span_s * 1000.0) < most, state.slowness(span_s * 1000.0)
