Answers without end: free memory with its count, bound framing, slices and a pace

What callers saw: a process held up to 238 MB (the smallest VM has 200 MB), and requests to sound services took seconds while one answer in chunks of one byte arrived. Cause: bounds counted bytes only while a response was read; what it held afterwards, and the processor time of its lines, were not bounded.

--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -19,14 +19,18 @@
 from .adapters.prometheus_metrics import PrometheusMetrics
 from .adapters.relay_websocket import WebsocketRelay
 from .bounded_writer import BoundedWriter
-from .decisions.cold_limit import ColdLimit
-from .decisions.extra_attempts import ExtraAttemptLimit
 from .decisions.leaf_choice import LeafChoice
 from .decisions.leaf_directory import LeafDirectory
 from .decisions.readiness_checks import ReadinessChecks
-from .decisions.state_age import StateAgeLimits
-from .decisions.vm_capacity import legs_per_s, max_running_legs
+from .decisions.vm_capacity import max_running_legs
 from .decisions.zone_reachability import ZoneReachability
+from .entry_settings import (
+    age_limits,
+    cold_limit,
+    extra_attempt_limit,
+    own_address,
+    seed_addresses,
+)
 from .errors import SettingsError
 from .logs import make_logger
 from .platform.caller_server import CallerServer
@@ -36,7 +40,6 @@
 from .platform.node_file import node_file_path, read_node_file
 from .platform.store_client import StoreClient
 from .ports.platform import Kind
-from .ports.relay import DaemonAddress
 from .ports.store_address import StoreAddress
 from .serving.context import ServingContext
 from .serving.coordinator_links import CoordinatorLinks
@@ -52,7 +55,6 @@
 
     from .model.leaf import Leaf
     from .model.relay import RelayMessage
-    from .platform.node_file import NodeSettings
 
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 METRICS_PATH = "/metrics"
@@ -97,17 +99,17 @@
             self._leaf_client,
             LeafDirectory(settings.leaf_heartbeat_ms),
             LeafChoice(settings.zone, self._random),
-            _extra_attempt_limit(settings),
+            extra_attempt_limit(settings),
             ZoneReachability(settings.zone),
             self.logger,
             self._metrics,
-            _cold_limit(settings),
+            cold_limit(settings),
             settings.name,
             cold_requests_per_s=self._cold_requests_per_s,
             is_shard=lambda service: service in self.gateway.shards,
             ms_until_moved=self._ms_until_moved,
         )
-        own = _own_address(settings)
+        own = own_address(settings)
         self._coordinators = CoordinatorLinks(
             self._context,
             WebsocketDelegationClient(self.logger),
@@ -121,12 +123,12 @@
             self._coordinators,
         )
         store = settings.store
-        age_limits = _age_limits(settings)
+        state_limits = age_limits(settings)
         self._store = StoreClient(
             StoreAddress(f"http://{store.host}:{store.port}"),
             self._metrics,
             self._timers,
-            {kind: limits.watch_wait_ms for kind, limits in age_limits.items()},
+            {kind: limits.watch_wait_ms for kind, limits in state_limits.items()},
         )
         peers = settings.peers
         self._relay = WebsocketRelay(
@@ -144,11 +146,11 @@
             self._context,
             PlatformDecoders(),
             own,
-            _seed_addresses(settings),
+            seed_addresses(settings),
             self._random,
             self.logger,
             self._coordinators.set_daemons,
-            age_limits,
+            state_limits,
         )
         self._delegated_queries = DelegatedQueries(
             self._context,
@@ -289,6 +291,16 @@
             "Whether queries over all shards are given to another daemon.",
             lambda: float(gateway.delegates),
         )
+        gauge(
+            "leaf_response_bytes",
+            "Bytes held of responses of leafs that are being read.",
+            lambda: self._leaf_client.pending_bytes.held,
+        )
+        gauge(
+            "leaf_responses_given_up",
+            "Responses of leafs that were malformed or exceeded a bound.",
+            lambda: self._leaf_client.pending_bytes.given_up,
+        )
         gauge(
             "connections_opened",
             "Connections opened to leafs.",
@@ -323,8 +335,8 @@
             self._settings.store,
         )
         self._settings = settings
-        self._context.extra_attempt_limit = _extra_attempt_limit(settings)
-        self._context.cold_limit = _cold_limit(settings)
+        self._context.extra_attempt_limit = extra_attempt_limit(settings)
+        self._context.cold_limit = cold_limit(settings)
         self._context.recompute_shares()
         self.logger.info("settings_reloaded", takes_a_restart=needs_restart)
 
@@ -362,48 +374,6 @@
         self._log_writer.flush()
 
 
-def _extra_attempt_limit(settings: NodeSettings) -> ExtraAttemptLimit:
-    bounds = settings.bounds
-    return ExtraAttemptLimit(
-        bounds.extra_attempt_ratio,
-        bounds.extra_attempt_slack,
-        bounds.extra_attempt_window_ms,
-    )
-
-
-def _age_limits(settings: NodeSettings) -> dict[Kind, StateAgeLimits]:
-    bounds = settings.bounds
-    bounds_ms = {
-        Kind.CONFIGURATION: bounds.configuration_ms,
-        Kind.LEAF: bounds.drain_ms,
-        Kind.ZONE_ORDER: bounds.zone_out_ms,
-        Kind.VERSION_ORDER: bounds.version_back_ms,
-    }
-    return {kind: StateAgeLimits.for_bound(ms) for kind, ms in bounds_ms.items()}
-
-
-def _cold_limit(settings: NodeSettings) -> ColdLimit:
-    return ColdLimit(settings.bounds.cold_load_ratio, settings.bounds.cold_slack_per_s)
-
-
-def _own_address(settings: NodeSettings) -> DaemonAddress:
-    capacity = settings.capacity
-    return DaemonAddress(
-        settings.name,
-        settings.zone,
-        settings.peers.host,
-        settings.peers.port,
-        settings.queries.port,
-        round(legs_per_s(capacity.cores, capacity.link_mbps)),
-    )
-
-
-def _seed_addresses(settings: NodeSettings) -> tuple[DaemonAddress, ...]:
-    own = settings.peers
-    others = (host for host in settings.seeds if host != own.host)
-    return tuple(DaemonAddress(f"seed:{h}", "", h, own.port) for h in others)
-
-
 async def serve() -> None:
     """Run the entry daemon with the settings file of the platform."""
     await EntryDaemon(Path(node_file_path())).run()
--- a/src/snipemount/errors.py
+++ b/src/snipemount/errors.py
@@ -203,11 +203,16 @@
         super().__init__(ResultCode.MALFORMED_BODY, detail)
 
 
+class MalformedResponseError(DecodeError):
+    """A leaf's response cannot be read, or exceeds a bound."""
+
+
 __all__ = [
     "MALFORMED_INPUT_ERRORS",
     "ConflictError",
     "CredentialsError",
     "DecodeError",
+    "MalformedResponseError",
     "NotFoundError",
     "PlatformError",
     "RemoteError",
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -13,6 +13,7 @@
 from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort
 from .leaf_connection import LeafConnection, LeafConnectionState
 from .pending_bytes import PendingBytes
+from .reading_pace import ReadingPace
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,7 +96,8 @@
 class LeafClient(LeafPort):
     """Sends requests to leafs over HTTP.
 
-    `connections_opened` counts the connections opened since the start.
+    `connections_opened` counts the connections opened since the start;
+    `pending_bytes` bounds and counts what is read of responses.
 
     Parameters
     ----------
@@ -113,7 +115,8 @@
         self._loop = asyncio.get_running_loop()
         self._pools: defaultdict[tuple[str, int], Pool] = defaultdict(Pool)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._pending_bytes = PendingBytes()
+        self.pending_bytes = PendingBytes()
+        self._pace = ReadingPace(timers)
         self.connections_opened = 0
 
     def send(
@@ -251,7 +254,8 @@
             return LeafConnection(
                 self._loop,
                 lambda freed: self._release(pool, freed),
-                self._pending_bytes,
+                self.pending_bytes,
+                self._pace,
             )
 
         async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -5,12 +5,11 @@
 import asyncio
 from enum import Enum
 from functools import lru_cache
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpResponseParser
-from aiohttp.http_exceptions import HttpProcessingError
 
+from ..errors import MalformedResponseError
 from ..model.forwarding import (
     LeafAnswer,
     LoadReport,
@@ -22,6 +21,7 @@
 from ..ports.leaf import AttemptReport
 from . import headers as names
 from .leaf_notices import parse_notice
+from .response_reader import ResponseReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,9 +30,8 @@
     from ..model.leaf import Leaf
     from ..model.leaf_notice import LeafNotice
     from .pending_bytes import PendingBytes
+    from .reading_pace import ReadingPace
 
-READ_BUFFER_BYTES = 2**22
-MAX_HEADER_LINE_BYTES = 65_536
 MISDIRECTED_STATUS = 421
 DEFAULT_IDLE_LIMIT_MS = 3000.0  # for a leaf that states no Keep-Alive timeout
 # Before the first response, which states the leaf's timeout; a leaf with a shorter one
@@ -69,6 +68,8 @@
         Called with the connection when it becomes idle again, and when it is closed.
     pending_bytes : PendingBytes
         Bounds what is read; a response beyond it is malformed.
+    pace : ReadingPace
+        Bounds how fast large responses are read.
     """
 
     def __init__(
@@ -76,20 +77,21 @@
         loop: asyncio.AbstractEventLoop,
         on_free: Callable[[LeafConnection], None],
         pending_bytes: PendingBytes,
+        pace: ReadingPace,
     ) -> None:
         self._pending_bytes = pending_bytes
+        self._pace = pace
         self._loop = loop
         self._flow = BaseProtocol(loop)
         self._transport: asyncio.Transport | None = None
         self._on_free = on_free
-        self._parser: HttpResponseParser | None = None
+        self._reader: ResponseReader | None = None
         self._done: Callable[[AttemptReport], None] | None = None
-        self._request_id = ""
-        self._unexpected_data = False
-        self._message: Any = None
-        self._payload: Any = None
-        self._body = bytearray()
-        self._bytes_read = 0
+        # Received but not parsed yet: from `_parsed` on.
+        self._received = b""
+        self._parsed = 0
+        self._spent = 0
+        self._paused = False
         self.state = LeafConnectionState.IDLE
         self.idle_limit_ms = UNUSED_IDLE_LIMIT_MS
         self.idle_since_ms = 0.0
@@ -117,18 +119,13 @@
         assert self._transport is not None
         self.state = LeafConnectionState.BUSY
         self._done = done
-        self._request_id = request.request_id
-        self._message = None
-        self._body.clear()
-        self._parser = HttpResponseParser(
-            self._flow,
+        self._spent = 0
+        self._reader = ResponseReader(
             self._loop,
-            READ_BUFFER_BYTES,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
-            response_with_body=request.method != "HEAD",
-            read_until_eof=True,
-            auto_decompress=False,
+            self._flow,
+            request.request_id,
+            request.method != "HEAD",
+            self._pending_bytes,
         )
         self._transport.write(encode_request(leaf, request, time_left_ms))
 
@@ -143,7 +140,7 @@
         The pool can thus open another connection in its place at once.
         """
         self.state = LeafConnectionState.CLOSED
-        self._release_bytes()
+        self._release()
         if self._transport is not None:
             self._transport.abort()
         self._on_free(self)
@@ -153,84 +150,89 @@
         self._transport = cast("asyncio.Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; close the connection on data without a pending request."""
-        if self._parser is None or self._done is None:
+        """Parse data; close the connection on data without a pending request."""
+        if self._reader is None or self._done is None:
             self.close()
             return
-        self._bytes_read += len(data)
-        has_head = self._message is not None
-        if not self._pending_bytes.add(len(data), self._bytes_read, has_head):
-            self._finish(NoValidResponse(NoValidResponseReason.MALFORMED), reuse=False)
-            return
-        try:
-            messages, _, tail = self._parser.feed_data(data)
-            self._unexpected_data = self._unexpected_data or bool(tail)
-            self._process_messages(messages)
-        except (HttpProcessingError, ValueError):
-            self._finish(NoValidResponse(NoValidResponseReason.MALFORMED), reuse=False)
+        if self._received:
+            data = self._received[self._parsed :] + data
+        self._received, self._parsed = data, 0
+        if not self._paused:
+            self._parse()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the pending request; EOF completes a response without a length."""
         self._transport = None
         self.state = LeafConnectionState.CLOSED
-        if self._done is None:
-            self._release_bytes()
+        if self._done is not None:
+            self._parse(at_pace=False)
+        if self._done is None or self._reader is None:
+            self._release()
             self._on_free(self)
             return
-        self._finish(self._outcome_at_eof(exc), reuse=False)
-
-    def _outcome_at_eof(self, exc: Exception | None) -> AttemptOutcome:
-        message = self._message
-        if exc is None and message is not None and _ends_at_eof(message):
-            self._read_payload()
-            return self._outcome(message)
-        return NoValidResponse(NoValidResponseReason.CONNECTION_CLOSED)
-
-    def _process_messages(self, messages: Any) -> None:
-        for message, payload in messages:
-            if 100 <= message.code < 200:
-                continue
-            if self._message is not None and not self._is_to_other_request(
-                self._message
-            ):
-                self._unexpected_data = True
-                break
-            self._unexpected_data = self._unexpected_data or self._message is not None
-            self._message = message
-            self._payload = payload
-            self._body.clear()
-        if self._message is None:
-            return
-        self._read_payload()
-        if self._payload.exception() is not None:
-            self._finish(NoValidResponse(NoValidResponseReason.MALFORMED), reuse=False)
-            return
-        if not self._payload.is_eof():
-            return
-        if self._is_to_other_request(self._message):
-            self._unexpected_data = True
-            return
-        self._finish_response()
+        if exc is None and self._reader.end():
+            self._finish(self._outcome(self._reader), reuse=False)
+        else:
+            self._lose(NoValidResponseReason.CONNECTION_CLOSED)
 
-    def _read_payload(self) -> None:
-        if self._payload.exception() is None:
-            self._body += self._payload.read_nowait(-1)
+    def _parse(self, at_pace: bool = True) -> None:
+        """Parse what was received, in slices, until the response has ended.
 
-    def _is_to_other_request(self, message: Any) -> bool:
-        answered_id = message.headers.get(names.REQUEST_ID)
-        if answered_id is None:
-            return self._unexpected_data or 200 <= message.code < 300
-        return bool(answered_id != self._request_id)
+        The rest waits, and no more is received, while the pace does not allow it.
+        """
+        reader = self._reader
+        while reader is not None and self._parsed < len(self._received):
+            data = reader.next_slice(self._received, self._parsed)
+            cost = reader.cost_of(data)
+            if at_pace and not self._pace.allows(cost, self._spent):
+                self._pause()
+                return
+            self._spent += cost
+            self._parsed += len(data)
+            self._feed(reader, data)
+            reader = self._reader
+        self._received, self._parsed = b"", 0
+
+    def _feed(self, reader: ResponseReader, data: bytes) -> None:
+        try:
+            is_complete = reader.feed(data)
+        except MalformedResponseError:
+            self._pending_bytes.given_up += 1
+            self._lose(NoValidResponseReason.MALFORMED)
+            return
+        if is_complete:
+            self._finish_response(reader)
 
-    def _finish_response(self) -> None:
-        message = self._message
-        reuse = not (self._unexpected_data or message.should_close)
+    def _pause(self) -> None:
+        if self._paused:
+            return
+        self._paused = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._pace.call_later(self._read_on)
+
+    def _read_on(self) -> None:
+        self._paused = False
+        if self._reader is None:
+            return
+        self._parse()
+        if not self._paused and self._reader is not None and self._transport:
+            self._transport.resume_reading()
+
+    def _finish_response(self, reader: ResponseReader) -> None:
+        message = reader.message
+        has_more = self._parsed < len(self._received)
+        reuse = not (reader.unexpected_data or message.should_close or has_more)
         self.idle_limit_ms = _idle_limit_ms(message.headers.get("Keep-Alive", ""))
-        self._finish(self._outcome(message), reuse=reuse)
+        self._finish(self._outcome(reader), reuse=reuse)
+
+    def _lose(self, reason: NoValidResponseReason) -> None:
+        self._finish(NoValidResponse(reason), reuse=False)
 
-    def _outcome(self, message: Any) -> AttemptOutcome:
+    def _outcome(self, reader: ResponseReader) -> AttemptOutcome:
+        message = reader.message
         headers = message.headers
-        if self._is_to_other_request(message):
+        if reader.is_to_other_request:
             return NoValidResponse(NoValidResponseReason.MISMATCHED_RESPONSE)
         if message.code == MISDIRECTED_STATUS:
             return NotRun(NotRunReason.OTHER_LEAF)
@@ -244,39 +246,46 @@
         receipt = headers.get(names.RECEIPT, "")
         if 200 <= message.code < 300 and not receipt:
             return NoValidResponse(NoValidResponseReason.MALFORMED)
-        return LeafAnswer(message.code, forwarded, bytes(self._body), receipt)
+        return LeafAnswer(message.code, forwarded, reader.body, receipt)
 
     def _finish(self, outcome: AttemptOutcome, reuse: bool) -> None:
         done = self._done
         self._done = None
-        bytes_read = self._bytes_read
-        self._release_bytes()
-        load = None
-        if self._message is not None and not isinstance(outcome, NoValidResponse):
-            load = parse_load(self._message.headers.get(names.LOAD, ""))
+        report = self._report(outcome)
+        self._release()
         if reuse and self.state is LeafConnectionState.BUSY:
             self.state = LeafConnectionState.IDLE
             self._on_free(self)
         else:
             self.close()
         if done is not None:
-            done(AttemptReport(outcome, load, bytes_read, notice=self._notice()))
+            done(report)
 
-    def _notice(self) -> LeafNotice | None:
-        """Return what the leaf states; None if the response is not known to be its."""
-        message = self._message
-        if (
-            message is None
-            or message.code == MISDIRECTED_STATUS
-            or self._is_to_other_request(message)
-        ):
-            return None
-        return parse_notice(message.code, message.headers)
-
-    def _release_bytes(self) -> None:
-        """Stop counting what was read, as the response has ended."""
-        self._pending_bytes.release(self._bytes_read)
-        self._bytes_read = 0
+    def _report(self, outcome: AttemptOutcome) -> AttemptReport:
+        reader = self._reader
+        if reader is None or reader.message is None:
+            bytes_read = 0 if reader is None else reader.bytes_read
+            return AttemptReport(outcome, None, bytes_read, notice=None)
+        load = None
+        if not isinstance(outcome, NoValidResponse):
+            load = parse_load(reader.message.headers.get(names.LOAD, ""))
+        notice = _notice(reader)
+        return AttemptReport(outcome, load, reader.bytes_read, notice=notice)
+
+    def _release(self) -> None:
+        """Free what was received, as the response has ended."""
+        if self._reader is not None:
+            self._reader.release()
+            self._reader = None
+        self._received, self._parsed = b"", 0
+
+
+def _notice(reader: ResponseReader) -> LeafNotice | None:
+    """Return what the leaf states; None if the response is not known to be its."""
+    message = reader.message
+    if message.code == MISDIRECTED_STATUS or reader.is_to_other_request:
+        return None
+    return parse_notice(message.code, message.headers)
 
 
 def encode_request(leaf: Leaf, request: ForwardRequest, time_left_ms: float) -> bytes:
@@ -309,15 +318,11 @@
         running, waiting, slots = (int(field) for field in fields)
     except ValueError:
         return None
-    if not all(0 <= number <= MAX_LOAD for number in (running, waiting, slots)):
+    if min(running, waiting, slots) < 0 or max(running, waiting, slots) > MAX_LOAD:
         return None
     return LoadReport(running, waiting, slots)
 
 
-def _ends_at_eof(message: Any) -> bool:
-    return not message.chunked and "Content-Length" not in message.headers
-
-
 @lru_cache(maxsize=MAX_CACHED_IDLE_LIMITS)
 def _idle_limit_ms(keep_alive: str) -> float:
     for field in keep_alive.split(","):
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -47,6 +47,7 @@
 NO_WAIT_MS = 1  # for a state that is too old already
 # Changes of leafs come in bursts; a pause lets the next call return several of them.
 LEAF_WATCH_PAUSE_MS = 250.0
+MAX_RESPONSE_BYTES = 2**25  # many times a page of the store
 MS_PER_S = 1000.0
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 T = TypeVar("T")
@@ -194,7 +195,7 @@
                 return Missing()
             if response.status != 200:
                 return Failed(f"status {response.status}")
-            return Found(read_object(kind, await response.read()))
+            return Found(read_object(kind, await _read_body(response)))
 
     async def _list(self, kind: Kind, may_be_stale: bool) -> ListResult:
         url = f"{self._base}/{kind_path(kind)}"
@@ -208,7 +209,7 @@
                 self._count("list", response)
                 if response.status != 200:
                     return Failed(f"status {response.status}")
-                page = read_page(kind, await response.read())
+                page = read_page(kind, await _read_body(response))
             objects += page.objects
             self._metrics.unreadable_entries(kind.value, page.unreadable)
             # The version of the first page: a watch from it also reports the changes
@@ -242,7 +243,7 @@
                 return Conflicted()
             if response.status not in (200, 201):
                 return Failed(f"status {response.status}")
-            return Written(read_object(kind, await response.read()))
+            return Written(read_object(kind, await _read_body(response)))
 
     async def _watch(
         self,
@@ -315,7 +316,7 @@
                 return Expired()
             if response.status != 200:
                 return Failed(f"status {response.status}")
-            changes = read_changes(kind, await response.read())
+            changes = read_changes(kind, await _read_body(response))
         self._metrics.unreadable_entries(kind.value, changes.unreadable)
         return changes
 
@@ -334,4 +335,20 @@
         return None, polled.version
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    Raises
+    ------
+    ValueError
+        When it is larger than any that the store sends.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise ValueError(f"a body of more than {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
+
+
 __all__ = ["OBJECTS_PATH", "StoreClient", "kind_path"]
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -195,3 +195,32 @@
       | 503    | Retry-After: 1e12                          | 3600000 |
       | 200    | Retry-After: 2                             | 0       |
       | 429    | Retry-After: 2                             | 0       |
+
+  # Six bytes on the wire for each byte of body cost processor time that nothing bounded.
+  Scenario Outline: An answer that costs much more than its body is given up soon: <part>
+    Given a connection to a leaf with a pending request
+    When the leaf sends <part> without end
+    Then the request is lost
+    And at most <limit> KiB were parsed
+
+    Examples:
+      | part                        | limit |
+      | chunks of one byte          | 32    |
+      | a chunk size                | 32    |
+      | trailers                    | 32    |
+      | interim responses           | 32    |
+      | responses to other requests | 32    |
+      | a body that is too long     | 32    |
+
+  Scenario: A large answer is read whole at the pace that is left for it
+    Given a connection to a leaf with a pending request
+    When the leaf sends 6 MiB in chunks while other answers use up the pace
+    Then the whole body is accepted after more than 20 ms
+
+  Scenario: Data that came while a connection waits for the pace is not lost at its end
+    Given a connection to a leaf with a pending request
+    When the leaf sends 6 MiB to its end while other answers use up the pace
+    Then the whole body is accepted at once
+
+  Scenario: Bytes after a response are never read as the response to the next request
+    Then however data is split, what follows a response is no answer to the next request
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -93,3 +93,9 @@
       | delegates   | the port is 70000                  |
       | follows     | handling a message raises an error |
       | delegates   | handling a message raises an error |
+
+  Scenario: A listing without end is given up
+    Given a store whose listings never end
+    When its leafs are listed
+    Then the listing has failed
+    And at most 64 MiB of it were sent
--- a/tests/steps/leaf_connection_steps.py
+++ b/tests/steps/leaf_connection_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 from behave import given, then, when
 from hypothesis import example, settings
 from hypothesis import given as for_any
@@ -26,6 +27,7 @@
     LeafConnectionState,
 )
 from snipemount.platform.pending_bytes import PendingBytes
+from snipemount.platform.reading_pace import ReadingPace
 from snipemount.timers import VirtualTimers
 
 REQUEST = ForwardRequest("abc", "GET", "/find/1", "h", (("Host", "h"),), b"", 900.0)
@@ -45,6 +47,18 @@
 class DeadTransport:
     """Ignores writes and aborts; the scenario reports the lost connection."""
 
+    def __init__(self, timers):
+        self.timers = timers
+        self.paused = False
+
+    def pause_reading(self):
+        """Receive nothing for now."""
+        self.paused = True
+
+    def resume_reading(self):
+        """Receive again."""
+        self.paused = False
+
     def write(self, data):
         """Discard the bytes."""
 
@@ -52,12 +66,24 @@
         """Do nothing."""
 
 
-def begin_request(loop, pending=None):
+def deliver(connection, data):
+    """Let a connection receive data as soon as it reads."""
+    transport = connection._transport
+    while transport.paused and connection.state is LeafConnectionState.BUSY:
+        transport.timers.run_until(transport.timers.now_ms() + 1.0)
+    if connection.state is LeafConnectionState.BUSY:
+        connection.data_received(data)
+
+
+def begin_request(loop, pending=None, timers=None):
     """Return a connection with a pending request, its reports and `on_free` calls."""
     reports = []
     freed = []
-    connection = LeafConnection(loop, freed.append, pending or PendingBytes())
-    connection.connection_made(DeadTransport())
+    timers = timers or VirtualTimers()
+    connection = LeafConnection(
+        loop, freed.append, pending or PendingBytes(), ReadingPace(timers)
+    )
+    connection.connection_made(DeadTransport(timers))
     connection.send(make_leaf("i-1", "shard0"), REQUEST, 900.0, reports.append)
     return connection, reports, freed
 
@@ -82,9 +108,12 @@
     context.burst = []
     for _ in range(count):
         connection = LeafConnection(
-            loop, lambda freed: context.client._release(pool, freed), PendingBytes()
+            loop,
+            lambda freed: context.client._release(pool, freed),
+            PendingBytes(),
+            ReadingPace(VirtualTimers()),
         )
-        connection.connection_made(DeadTransport())
+        connection.connection_made(DeadTransport(VirtualTimers()))
         connection.state = LeafConnectionState.BUSY
         pool.connections.add(connection)
         context.burst.append(connection)
@@ -385,7 +414,7 @@
     connection.data_received(first or repeated)
     sent = len(first or repeated)
     while connection.state is not LeafConnectionState.CLOSED and sent < MAX_SENT_BYTES:
-        connection.data_received(repeated)
+        deliver(connection, repeated)
         sent += len(repeated)
     return sent
 
@@ -418,8 +447,7 @@
     context.most_held = 0
     for _ in range(200):
         for connection in endless:
-            if connection.state is not LeafConnectionState.CLOSED:
-                connection.data_received(repeated)
+            deliver(connection, repeated)
             context.most_held = max(context.most_held, context.pending.held)
     last.data_received(make_response())
 
@@ -474,3 +502,108 @@
                 assert cut < head, "a truncated body was accepted"
 
     holds()
+
+
+ENDLESS["chunks of one byte"] = (CHUNKED_HEAD, b"1\r\nx\r\n" * 10_000)
+ENDLESS["a body that is too long"] = (
+    HEAD + b"Content-Length: 8388609\r\n\r\n",
+    b"b" * 65536,
+)
+LARGE_BODY = bytes(range(256)) * (6 * 2**12)
+
+
+@then("at most {limit_kib:d} KiB were parsed")
+def step_parsed(context, limit_kib):
+    (report,) = context.reports
+    assert report.bytes_read <= limit_kib * 2**10, report.bytes_read
+
+
+def start_large(context, head):
+    """Begin a response with a large body while the pace is used up."""
+    connection = context.connection
+    while connection._pace.allows(2**16, 2**30):
+        pass
+    connection.data_received(head)
+
+
+def deliver_parts(connection, data):
+    """Let a connection receive data in parts, as it reads."""
+    for start in range(0, len(data), 2**18):
+        deliver(connection, data[start : start + 2**18])
+
+
+@when("the leaf sends 6 MiB in chunks while other answers use up the pace")
+def step_large_chunks(context):
+    start_large(context, CHUNKED_HEAD)
+    for start in range(0, len(LARGE_BODY), 2**15):
+        chunk = LARGE_BODY[start : start + 2**15]
+        deliver(context.connection, b"8000\r\n" + chunk + b"\r\n")
+    deliver(context.connection, b"0\r\n\r\n")
+    timers = context.connection._pace._timers
+    context.ended_ms = timers.now_ms()
+    while not context.reports:
+        timers.run_until(timers.now_ms() + 1.0)
+        context.ended_ms = timers.now_ms()
+
+
+@then("the whole body is accepted after more than {least_ms:g} ms")
+def step_large_accepted(context, least_ms):
+    (report,) = context.reports
+    assert report.outcome.body == LARGE_BODY
+    assert context.ended_ms > least_ms, context.ended_ms
+
+
+@when("the leaf sends 6 MiB to its end while other answers use up the pace")
+def step_large_end(context):
+    start_large(context, HEAD + b"\r\n")
+    deliver_parts(context.connection, LARGE_BODY)
+    assert context.connection._transport.paused
+    assert not context.reports
+    context.connection.connection_lost(None)
+
+
+@then("the whole body is accepted at once")
+def step_large_at_once(context):
+    (report,) = context.reports
+    assert report.outcome.body == LARGE_BODY
+
+
+@then("however data is split, what follows a response is no answer to the next request")
+def step_nothing_follows(context):
+    loop = asyncio.new_event_loop()
+    context.closers = [*getattr(context, "closers", []), loop.close]
+    following = make_response("def")
+    next_request = attrs.evolve(REQUEST, request_id="def")
+
+    @for_any(st.integers(0, 9000), st.integers(0, 9000), st.booleans())
+    def holds(body_bytes, split, chunked):
+        body = b"z" * body_bytes
+        first = make_response(body=body)
+        if chunked:
+            first = CHUNKED_HEAD + b"%x\r\n%s\r\n0\r\n\r\n" % (
+                body_bytes or 1,
+                body or b"z",
+            )
+        connection, reports, _ = begin_request(loop)
+        later = []
+        done = connection._done
+
+        def send_next(report):
+            done(report)
+            if connection.state is LeafConnectionState.IDLE:
+                connection.send(
+                    make_leaf("i-1", "shard0"), next_request, 900.0, later.append
+                )
+
+        connection._done = send_next
+        split = min(split, len(first))
+        connection.data_received(first[:split]) if split else None
+        assert not reports or split == len(first)
+        if split < len(first):
+            connection.data_received(first[split:] + following)
+            assert not later, later
+            assert connection.state is LeafConnectionState.CLOSED
+        (report,) = reports
+        assert isinstance(report.outcome, LeafAnswer), report
+
+    holds()
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import attrs
@@ -243,6 +244,34 @@
             assert decode_relay(encode_relay(change)) == change
 
 
+class EndlessStore:
+    """Answers with a body that never ends."""
+
+    def __init__(self):
+        self.sent_bytes = 0
+
+    async def respond(self, request):
+        """Send until the client closes; past the bound of the scenario, stop."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            while self.sent_bytes < 2**28:
+                await response.write(b"x" * 2**16)
+                self.sent_bytes += 2**16
+        return response
+
+
+@given("a store whose listings never end")
+def step_endless_store(context):
+    context.raw_store = EndlessStore()
+
+
+@then("at most {limit_mib:d} MiB of it were sent")
+def step_sent(context, limit_mib):
+    sent = context.raw_store.sent_bytes
+    assert 0 < sent <= limit_mib * 2**20, sent
+
+
 @then("the listing has failed")
 def step_failed(context):
     assert isinstance(context.listed, Failed), context.listed
