Watch of leafs: the pause after changes counts as age of the state

Cause: after changes a watch of leafs pauses for 250 ms and then waited in full, so the next confirmation came at 1.8 + 0.25 s with a bound of 3 s, later than the 2.04 s at which the first in line gives its relay up (found by reading the diff). Test: the new scenario of store_watch.feature, which failed before (state older than 1150 ms).

--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -266,9 +266,10 @@
             else:
                 age_ms = self._state_age_ms(kind, polled, called_ms, wait_ms)
                 end, version = self._notify(polled, version, age_ms, on_event)
-                wait_ms = self._wait_for_age_ms(kind, age_ms)
                 if kind is Kind.LEAF and isinstance(polled, Changes) and polled.events:
                     await asyncio.sleep(LEAF_WATCH_PAUSE_MS / MS_PER_S)
+                    age_ms += LEAF_WATCH_PAUSE_MS
+                wait_ms = self._wait_for_age_ms(kind, age_ms)
         on_event(end)
 
     def _max_wait_ms(self, kind: Kind) -> float:
--- a/tests/platform/store_watch.feature
+++ b/tests/platform/store_watch.feature
@@ -13,6 +13,14 @@
     When it is watched with a wait of 2000 ms for 4500 ms
     Then there were at most 5 calls
 
+  # The pause after changes of leafs came on top of the wait: the state became older than a
+  # watch lets it become, and the first in line of a zone left its relay for that.
+  Scenario: The pause after changes of leafs does not delay the next confirmation
+    Given a store that reports a change of a leaf 300 ms after it is watched
+    When it is watched with a wait of 1000 ms for 2600 ms
+    Then the state was never older than 1150 ms
+    And there were at most 5 calls
+
   # A silent connection showed only after the longest wait, whatever the call had asked for.
   Scenario: A watch with a short wait is given up soon when it gets no response
     Given a store that never answers a watch
