--- a/tests/adapters/relay.feature
+++ b/tests/adapters/relay.feature
@@ -68,9 +68,11 @@
       | delegates to            |
       | takes queries of        |
 
+  # An infinite slowness that another daemon stated made a leaf unusable for good.
   Scenario: Evidence and queries with numbers that are none or infinite are refused
     Then evidence with a slowness of nan, inf or a number of 400 digits is refused
     And a query, an answer and a refusal of another daemon with such a time are refused
 
+  # A huge one kept a leaf unused for half an hour.
   Scenario: An exaggerated slowness that another daemon reports is soon forgotten
     Then 10 s after a report of a slowness of 1e300 a leaf counts as less than 2 times slow
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -154,6 +154,7 @@
       | 0,0,9999999  | none   |
       | 1,2          | none   |
 
+  # The choice of a leaf raised, or chose none any more, for what one answer had stated.
   Scenario: Whatever a leaf states in the headers of an answer, requests are served
     Then after any load, limit, rest and time to keep a connection other leafs serve
 
@@ -212,15 +213,18 @@
       | responses to other requests | 32    |
       | a body that is too long     | 32    |
 
+  # Guards against a large answer that is cut short or never read on after a pause.
   Scenario: A large answer is read whole at the pace that is left for it
     Given a connection to a leaf with a pending request
     When the leaf sends 6 MiB in chunks while other answers use up the pace
     Then the whole body is accepted after more than 20 ms
 
+  # Guards against an answer that is lost because its connection ended in a pause.
   Scenario: Data that came while a connection waits for the pace is not lost at its end
     Given a connection to a leaf with a pending request
     When the leaf sends 6 MiB to its end while other answers use up the pace
     Then the whole body is accepted at once
 
+  # Guards against the rest of received data being taken for the next answer.
   Scenario: Bytes after a response are never read as the response to the next request
     Then however data is split, what follows a response is no answer to the next request
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -94,6 +94,7 @@
       | follows     | handling a message raises an error |
       | delegates   | handling a message raises an error |
 
+  # A body of the store was read whole, whatever its size.
   Scenario: A listing without end is given up
     Given a store whose listings never end
     When its leafs are listed
--- a/tests/serving/directory.feature
+++ b/tests/serving/directory.feature
@@ -84,11 +84,13 @@
       | 6     | 2150 | 250  |
       | 3     | 2900 | 400  |
 
+  # Each batch of very many removals began the grace time of earlier ones anew.
   Scenario: Many removals one after the other do not prolong each other
     Given a directory with 40 leafs, fed by the store
     When 12 entries are removed each 1500 ms, 3 times
     Then each of these leafs got no request 2500 ms after its removal
 
+  # Guards against the opposite: running leafs dropped because an outage came soon again.
   Scenario: Entries that lapsed before a second outage have the grace time again after it
     Given a directory with 12 leafs, fed by the store
     When the store does not respond for 5000 ms
--- a/tests/serving/single.feature
+++ b/tests/serving/single.feature
@@ -88,6 +88,7 @@
     And 2000 ms pass
     Then it was sent 0 times
 
+  # A request that raised was answered 500 without a log line, and its attempts ran on.
   Scenario Outline: A fault of the program while a request starts leaves nothing running
     Given a serving path with two leafs a shard
     When the choice of a leaf raises from the <nth>th time on
