Configurations with numbers that none can mean are refused, as are such messages

Negative positions between daemons named another shard. The check of finite numbers stood twice and has a module now.

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
+from ..finite import finite_number
 from ..model.delegation import (
     ConfigurationAnnounced,
     ConfigurationOffered,
@@ -34,7 +35,7 @@
     RequestRefused,
 )
 from ..ports.platform import Kind
-from .relay_codec import decode_object, encode_object, finite
+from .relay_codec import decode_object, encode_object
 
 QUERY = 0
 ACCEPTED = 1
@@ -123,7 +124,9 @@
         return QueryRunning(_integer(*fields))
     if tag == ENDED:
         query_id, outcome, ran_ms = fields
-        return QueryEnded(_integer(query_id), _decode_outcome(outcome), finite(ran_ms))
+        return QueryEnded(
+            _integer(query_id), _decode_outcome(outcome), finite_number(ran_ms)
+        )
     if tag == CANCELLED:
         return QueryCancelled(_integer(*fields))
     if tag == STOPPING and not fields:
@@ -172,15 +175,15 @@
         host=_to_text(host),
         headers=tuple((_to_text(name), _to_text(value)) for name, value in headers),
         body=body,
-        deadline_ms=None if deadline_ms is None else finite(deadline_ms),
+        deadline_ms=None if deadline_ms is None else finite_number(deadline_ms),
     )
     return DelegatedQuery(
         _integer(query_id),
         str(sender),
         request,
         _integer(version),
-        finite(answer_within_ms),
-        finite(time_left_ms),
+        finite_number(answer_within_ms),
+        finite_number(time_left_ms),
         _integers(attempts),
     )
 
@@ -215,7 +218,7 @@
         return Merged(texts, _integer(missing), body)
     if tag == REFUSED:
         reason, retry_after_ms = rest
-        return RequestRefused(_refusal_reason(reason), finite(retry_after_ms))
+        return RequestRefused(_refusal_reason(reason), finite_number(retry_after_ms))
     if tag == FAILED:
         (failure,) = rest
         return RequestFailed(FailureReason(failure))
@@ -229,7 +232,10 @@
 
 
 def _integers(values: Any) -> tuple[int, ...]:
-    return tuple(_integer(value) for value in values)
+    integers = tuple(_integer(value) for value in values)
+    if any(value < 0 for value in integers):
+        raise ValueError(f"a negative number in {integers[:20]}")
+    return integers
 
 
 def _to_bytes(text: str) -> bytes:
--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import cbor2
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
+from ..finite import finite_number
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
@@ -114,32 +114,18 @@
             return RelayHeartbeat()
         case [6, leafs]:
             return RelayEvidence(
-                tuple(SlowLeaf(str(leaf_id), finite(x)) for leaf_id, x in leafs)
+                tuple(SlowLeaf(str(leaf_id), finite_number(x)) for leaf_id, x in leafs)
             )
     raise ValueError("unknown message type or wrong number of fields")
 
 
 def _age_ms(value: Any) -> float:
-    age_ms = finite(value)
+    age_ms = finite_number(value)
     if age_ms < 0.0:
         raise ValueError(f"age of {age_ms} ms is negative")
     return age_ms
 
 
-def finite(value: Any) -> float:
-    """Return a number as a float.
-
-    Raises
-    ------
-    OverflowError, TypeError, ValueError
-        When it is none, infinite, or too large.
-    """
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"{value!r} is not a finite number")
-    return number
-
-
 def encode_object(stored: StoredObject) -> list[Any]:
     """Return the fields of a stored object, without its kind."""
     return [
@@ -172,5 +158,4 @@
     "encode_batch",
     "encode_object",
     "encode_relay",
-    "finite",
 ]
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
+from ..finite import finite_number
 from ..model.configuration import (
     CallerLimits,
     Configuration,
@@ -27,6 +27,7 @@
 MAX_PORT = 65535
 MOVE_STATES = {"running": "running", "completed": "done", "rolled_back": "taken_back"}
 MAX_SLOTS = 1_000_000
+MAX_COUNT = 2**53
 MAX_COLD_MS = 86_400_000.0
 
 
@@ -41,7 +42,7 @@
     spec = stored.spec
     try:
         return Configuration(
-            version=int(spec["version"]),
+            version=_count(spec["version"]),
             routes=tuple(_route(item) for item in spec["routes"]),
             services={s["name"]: _service(s) for s in spec.get("backends") or ()},
             limits=_limits(spec.get("limits") or {}),
@@ -51,7 +52,7 @@
 
 
 def _route(item: dict[str, Any]) -> Route:
-    timeout_ms = float(item["timeout_ms"])
+    timeout_ms = finite_number(item["timeout_ms"])
     return Route(
         name=item["name"],
         host=item["host"],
@@ -59,9 +60,9 @@
         target=_target(item),
         idempotent=item["type"] == "idempotent",
         timeout_ms=timeout_ms,
-        latency_objective_ms=float(item.get("target_latency_ms") or timeout_ms),
-        max_attempts=max(1, int(item.get("max_attempts") or 1)),
-        priority=int(item.get("priority") or 0),
+        latency_objective_ms=finite_number(item.get("target_latency_ms") or timeout_ms),
+        max_attempts=max(1, _count(item.get("max_attempts") or 1)),
+        priority=_count(item.get("priority") or 0),
     )
 
 
@@ -69,12 +70,16 @@
     if item.get("gather"):
         shards = tuple(item["gather"])
         return ToAllShards(
-            shards, int(item["top_k"]), float(item.get("min_coverage") or 0.0)
+            shards,
+            _count(item["top_k"]),
+            finite_number(item.get("min_coverage") or 0.0),
         )
     if item.get("weighted_backends"):
         parts = item["weighted_backends"]
         return ToWeightedServices(
-            tuple(WeightedService(p["backend"], float(p["weight"])) for p in parts)
+            tuple(
+                WeightedService(p["backend"], finite_number(p["weight"])) for p in parts
+            )
         )
     return ToService(item["backend"])
 
@@ -83,19 +88,19 @@
     return ServiceTraits(
         name=item["name"],
         health_path=item.get("health_path") or "/",
-        max_connections=max(1, int(item.get("max_conns") or 1)),
-        cold_start_ms=float(item.get("cold_start_s") or 0.0) * MS_PER_S,
-        cold_requests_per_s=float(item.get("warmup_per_s") or 0.0),
+        max_connections=max(1, _count(item.get("max_conns") or 1)),
+        cold_start_ms=finite_number(item.get("cold_start_s") or 0.0) * MS_PER_S,
+        cold_requests_per_s=finite_number(item.get("warmup_per_s") or 0.0),
     )
 
 
 def _limits(item: dict[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        int(item.get("max_header_bytes") or defaults.max_header_bytes),
-        int(item.get("max_body_bytes") or defaults.max_body_bytes),
-        float(item.get("header_timeout_ms") or defaults.header_timeout_ms),
-        float(item.get("idle_timeout_ms") or defaults.idle_timeout_ms),
+        _count(item.get("max_header_bytes") or defaults.max_header_bytes),
+        _count(item.get("max_body_bytes") or defaults.max_body_bytes),
+        finite_number(item.get("header_timeout_ms") or defaults.header_timeout_ms),
+        finite_number(item.get("idle_timeout_ms") or defaults.idle_timeout_ms),
     )
 
 
@@ -126,7 +131,7 @@
             version=_text(spec, "version"),
             slots=min(MAX_SLOTS, max(1, _integer(spec, "max_concurrency"))),
             draining=state == "draining",
-            cold_ms=min(MAX_COLD_MS, _finite(_number(spec, "cold_remaining_ms"))),
+            cold_ms=min(MAX_COLD_MS, finite_number(_number(spec, "cold_remaining_ms"))),
             started_wall_ms=float(_started_wall_ms(stored)),
         )
     except MALFORMED_INPUT_ERRORS as error:
@@ -156,10 +161,10 @@
     return value
 
 
-def _finite(value: Any) -> float:
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"{value!r} is not a finite number")
+def _count(value: Any) -> int:
+    number = int(value)
+    if abs(number) > MAX_COUNT:
+        raise ValueError(f"a number of {len(str(number))} digits is too large")
     return number
 
 
@@ -184,7 +189,7 @@
         return VersionOrder(
             service=_text(spec, "backend"),
             to_version=_text(spec, "target_version"),
-            duration_ms=_finite(spec["duration_s"]) * MS_PER_S,
+            duration_ms=finite_number(spec["duration_s"]) * MS_PER_S,
             revision=stored.created_version,
             status=MOVE_STATES.get(str(status.get("state") or ""), ""),
         )
--- a/tests/platform/odd_entries.feature
+++ b/tests/platform/odd_entries.feature
@@ -53,6 +53,25 @@
       | configuration | version    | 1e999 |
       | configuration | routes     | 7     |
 
+  # A number that no float can hold made each request that used it raise.
+  Scenario Outline: A configuration with a number that none can mean is refused whole
+    Then a configuration whose <place> has a <field> of <value> is refused
+
+    Examples:
+      | place   | field             | value      |
+      | route   | timeout_ms        | NaN        |
+      | route   | timeout_ms        | 1e999      |
+      | route   | timeout_ms        | 400 digits |
+      | route   | target_latency_ms | 1e999      |
+      | route   | max_attempts      | 400 digits |
+      | route   | priority          | 400 digits |
+      | service | max_conns         | 400 digits |
+      | service | max_conns         | 1e999      |
+      | service | cold_start_s      | NaN        |
+      | service | warmup_per_s      | 1e999      |
+      | limits  | max_body_bytes    | 400 digits |
+      | limits  | idle_timeout_ms   | 1e999      |
+
   # A follower's task ended by an error that nobody awaited, and it followed nobody.
   Scenario: A relayed frame with a number too large is malformed
     Then a relayed confirmation of version 1e999 is refused
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -297,6 +297,42 @@
     check_refused(lambda: decode(stored))
 
 
+ODD_NUMBERS = {
+    "NaN": float("nan"),
+    "1e999": float("inf"),
+    "400 digits": 10**400 - 1,
+}
+
+
+@then("a configuration whose {place} has a {field} of {value} is refused")
+def step_odd_number(context, place, field, value):
+    parts = {
+        "route": {
+            "name": "look",
+            "host": "h",
+            "path_prefix": "/",
+            "type": "idempotent",
+            "timeout_ms": 500,
+            "backend": "ledger",
+        },
+        "service": {"name": "ledger"},
+        "limits": {},
+    }
+
+    def decode():
+        spec = {
+            "version": 3,
+            "routes": [parts["route"]],
+            "backends": [parts["service"]],
+            "limits": parts["limits"],
+        }
+        return decode_configuration(StoredObject(Kind.CONFIGURATION, "it", 1, spec))
+
+    assert decode().version == 3
+    parts[place][field] = ODD_NUMBERS[value]
+    check_refused(decode)
+
+
 def check_refused(decode):
     """Check that decoding raises the error of malformed input."""
     try:
