--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query_run.py
@@ -7,7 +7,9 @@
 from ..errors import ResultCode
 from ..model.answer import Answer
 from ..model.exchange import Attempt, Exchange, ExchangeReply, Fate, Reason
+from .exchange_of_request import exchange_for
 from .merge import Merge, MergeResult
+from .observed_outcomes import ObservedOutcomes
 from .run_actions import (
     CancelExchange,
     Finish,
@@ -29,9 +31,6 @@
 TIMER_SLACK_MS = 0.5
 MAX_ATTEMPTS_PER_SHARD = 4
 SERVER_UNAVAILABLE_REASONS = frozenset({Reason.EJECTED, Reason.WARMING_UP})
-OVERLOAD_REASONS = frozenset(
-    {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.SHED, Reason.CANCELLED}
-)
 
 
 class QueryRun:
@@ -85,12 +84,9 @@
         self._held_back: list[ServerAssignment] = []
         self._tried: dict[int, frozenset[str]] = {}
         self._attempts = dict.fromkeys(shards, 0)
-        self._none_ran = True
-        self._overloaded = False
-        self._connection_lost = False
+        self._observed = ObservedOutcomes()
         self._admitted = False
         self._hedge_wake_ms = -1.0
-        self._snapshot_gone = False
         self.finished = False
 
     @property
@@ -140,8 +136,7 @@
         self._state.observe(sent.sent_ms, sent.hedged, reply, now_ms)
         if self.finished:
             return []
-        if not reply.fate.not_run:
-            self._none_ran = False
+        self._observed.note_fate(reply.fate)
         actions: list[RunAction] = []
         if reply.fate is Fate.ANSWERED:
             actions += self._on_answered(sent, reply, now_ms)
@@ -177,25 +172,14 @@
     def _send(
         self, assignment: ServerAssignment, attempt: Attempt, now_ms: float
     ) -> SendExchange:
-        request = self.request
-        exchange = Exchange(
+        exchange = exchange_for(
+            self.request,
+            assignment,
             exchange_id=next(self._state.exchange_ids),
-            request_id=request.request_id,
-            service=request.service,
-            server=assignment.server.name,
             snapshot=self.snapshot,
-            shards=assignment.shards,
-            route=request.route,
-            query=request.query,
-            caller=request.caller,
-            priority=request.priority,
             budget_ms=self._deadline_ms - now_ms,
-            top_k=request.top_k,
-            repeatable=request.repeatable,
-            fingerprint=request.fingerprint,
             attempt=attempt,
             proven=self._proven,
-            last_resort=assignment.last_resort,
         )
         for shard in assignment.shards:
             tried = self._tried.get(shard, frozenset())
@@ -231,11 +215,11 @@
         return actions
 
     def _cancel_superseded(self) -> list[RunAction]:
-        actions: list[RunAction] = []
-        for sent in self._sent.values():
-            if all(self._merge.is_answered(s) for s in sent.exchange.shards):
-                actions.append(self._cancel(sent))
-        return actions
+        return [
+            self._cancel(sent)
+            for sent in self._sent.values()
+            if all(self._merge.is_answered(s) for s in sent.exchange.shards)
+        ]
 
     @staticmethod
     def _cancel(sent: SentExchange) -> CancelExchange:
@@ -244,11 +228,7 @@
     def _note_failure(self, sent: SentExchange, reason: Reason) -> None:
         for shard in sent.exchange.shards:
             self._merge.note_failure(shard, reason)
-        self._overloaded = self._overloaded or reason in OVERLOAD_REASONS
-        self._connection_lost = (
-            self._connection_lost or reason is Reason.CONNECTION_LOST
-        )
-        self._snapshot_gone = self._snapshot_gone or reason is Reason.SNAPSHOT_GONE
+        self._observed.note_failure(reason)
 
     def _retry(
         self, sent: SentExchange, reply: ExchangeReply, now_ms: float
@@ -287,16 +267,14 @@
             return False
         if reply.fate.not_run:
             return True
-        may_crash_servers = self._connection_lost and not self._proven
+        may_crash_servers = self._observed.connection_lost and not self._proven
         return self.request.repeatable and not may_crash_servers
 
     def _without_exchange(self, shards: tuple[int, ...]) -> tuple[int, ...]:
         """Return the unanswered `shards` without a pending or held back exchange."""
-        pending_shards: set[int] = set()
-        for sent in self._sent.values():
-            pending_shards.update(sent.exchange.shards)
-        for assignment in self._held_back:
-            pending_shards.update(assignment.shards)
+        pending = [sent.exchange.shards for sent in self._sent.values()]
+        pending += [assignment.shards for assignment in self._held_back]
+        pending_shards = set().union(*pending)
         return tuple(
             s
             for s in shards
@@ -320,7 +298,7 @@
 
     def _may_hedge(self) -> bool:
         allowed = self._state.profile.hedging and self.request.repeatable
-        return allowed and self._proven and not self._overloaded
+        return allowed and self._proven and not self._observed.overloaded
 
     def _send_due_hedges(self, now_ms: float) -> list[RunAction]:
         actions: list[RunAction] = []
@@ -361,7 +339,7 @@
             return self._finish(now_ms)
         if self._sent:
             return []
-        if self._held_back and not self._connection_lost:
+        if self._held_back and not self._observed.connection_lost:
             return self._send_next_unproven(now_ms)
         return self._finish(now_ms)
 
@@ -370,7 +348,7 @@
 
         Finish instead if an earlier exchange may have run.
         """
-        count = self._proving_servers if self._none_ran else 0
+        count = self._proving_servers if self._observed.none_ran else 0
         assignments, self._held_back = self._held_back[:count], self._held_back[count:]
         if not assignments:
             return self._finish(now_ms)
@@ -386,7 +364,7 @@
         may_restart = self._restarts == 0 and remaining_ms > MIN_ATTEMPT_MS
         may_rerun = self.request.repeatable or answer.not_run
         if (
-            self._snapshot_gone
+            self._observed.snapshot_gone
             and may_restart
             and may_rerun
             and not self._merge.complete
@@ -398,10 +376,12 @@
 
     def _build_answer(self, now_ms: float) -> Answer:
         coverage = self._merge.coverage()
-        not_run = self._none_ran and not self._sent
+        not_run = self._observed.none_ran and not self._sent
         return Answer(
             request_id=self.request.request_id,
-            code=self._result_code(not_run),
+            code=self._observed.result_code(
+                self._merge, bool(self._sent), self.request.repeatable
+            ),
             not_run=not_run,
             hits=self._merge.hits(),
             snapshot=self.snapshot,
@@ -410,21 +390,6 @@
             restarts=self._restarts,
         )
 
-    def _result_code(self, not_run: bool) -> ResultCode:
-        if self._merge.complete:
-            return ResultCode.OK
-        if self._merge.answered_any:
-            return ResultCode.PARTIAL
-        if not_run:
-            return ResultCode.OVERLOADED if self._overloaded else ResultCode.NO_BACKEND
-        if not self.request.repeatable:
-            return ResultCode.OUTCOME_UNKNOWN
-        if self._snapshot_gone:
-            return ResultCode.SNAPSHOT_GONE
-        if self._sent:
-            return ResultCode.DEADLINE_EXCEEDED
-        return ResultCode.BACKEND_FAILED
-
     def _refuse(self, code: ResultCode, now_ms: float) -> Finish:
         self.finished = True
         answer = self._build_answer(now_ms)
--- a/src/snipemount/decisions/server_owner.py
+++ b/src/snipemount/decisions/server_owner.py
@@ -14,6 +14,8 @@
 from .breaker import CircuitBreaker
 from .cold_start import ColdStartGuard
 from .connections import ConnectionPool
+from .exchange_queue import MIN_BUDGET_MS, ExchangeQueue
+from .leaf_slots import LeafSlots
 from .owner_messages import (
     Answered,
     BackendOutcome,
@@ -40,7 +42,6 @@
 INITIAL_SERVICE_MS = 20.0
 SERVICE_SMOOTHING = 0.05
 SPARE_CONNECTIONS = 2
-MIN_BUDGET_MS = 1.0
 MAX_COLD_PAUSE_MS = 10.0
 IMMEDIATE_OPEN_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.WRONG_SNAPSHOT})
 
@@ -77,19 +78,17 @@
         connection_ids: Iterator[int],
     ) -> None:
         self.server = server
-        self._queue_limits = profile.queue
         self._cold_start = ColdStartGuard(
             server.name, profile.cold_start, reference, cold, now_ms
         )
         self.slots = server.slots
         self.connections = server.connection_limit
-        self._leaf_slots = {leaf.shard: leaf.slots for leaf in server.leafs}
-        self._leaf_in_flight = dict.fromkeys(self._leaf_slots, 0)
+        self._leaf_slots = LeafSlots(server.leafs)
         warm_connections = server.slots + SPARE_CONNECTIONS
         self._pool = ConnectionPool(
             server.name, server.connection_limit, warm_connections, connection_ids
         )
-        self._queue: list[SubmittedExchange] = []
+        self._queue = ExchangeQueue(profile.queue)
         self._running: dict[int, SubmittedExchange] = {}
         self._service_ms = INITIAL_SERVICE_MS
         self._not_before_ms = now_ms
@@ -154,13 +153,11 @@
         if reason is not Reason.NONE:
             return [self._reject(submitted, reason, now_ms)]
         actions: list[OwnerAction] = []
-        if len(self._queue) >= self._queue_limits.length:
-            evicted = max(self._queue, key=lambda s: s.exchange.priority)
-            if evicted.exchange.priority <= exchange.priority:
-                return [self._reject(submitted, Reason.QUEUE_FULL, now_ms)]
-            self._queue.remove(evicted)
+        evicted = self._queue.add(submitted)
+        if evicted is submitted:
+            return [self._reject(submitted, Reason.QUEUE_FULL, now_ms)]
+        if evicted is not None:
             actions.append(self._reject(evicted, Reason.QUEUE_FULL, now_ms))
-        self._enqueue(submitted)
         actions += self._dispatch_queued(now_ms)
         return actions
 
@@ -202,7 +199,7 @@
         submitted = self._running.pop(connection_id, None)
         if submitted is None:
             return [self._pool.close(connection_id)]
-        self._release(submitted)
+        self._leaf_slots.give_back(submitted.exchange.shards)
         match outcome:
             case Answered():
                 actions = self._on_answered(submitted, outcome, now_ms)
@@ -226,8 +223,7 @@
         actions: list[OwnerAction] = []
         if self.idle:
             return actions
-        for submitted in [s for s in self._queue if self._is_overdue(s, now_ms)]:
-            self._queue.remove(submitted)
+        for submitted in self._queue.take_overdue(now_ms):
             actions.append(self._reject(submitted, Reason.QUEUE_TIMEOUT, now_ms))
         for submitted in [
             s for s in self._running.values() if s.remaining_ms(now_ms) <= 0
@@ -256,7 +252,7 @@
             return Reason.NOT_OWNER
         if submitted.exchange.budget_ms < MIN_BUDGET_MS:
             return Reason.QUEUE_TIMEOUT
-        if any(shard not in self._leaf_slots for shard in submitted.exchange.shards):
+        if not self._leaf_slots.has_all(submitted.exchange.shards):
             return Reason.SNAPSHOT_GONE
         if submitted.exchange.last_resort:
             return Reason.NONE
@@ -270,20 +266,6 @@
         paused = self._not_before_ms - now_ms > MAX_COLD_PAUSE_MS
         return not self._queue and not paused
 
-    def _enqueue(self, submitted: SubmittedExchange) -> None:
-        index = len(self._queue)
-        priority = submitted.exchange.priority
-        while index and self._queue[index - 1].exchange.priority > priority:
-            index -= 1
-        self._queue.insert(index, submitted)
-
-    def _is_overdue(self, submitted: SubmittedExchange, now_ms: float) -> bool:
-        waited_ms = now_ms - submitted.arrived_ms
-        return (
-            waited_ms > self._queue_limits.wait_ms
-            or submitted.remaining_ms(now_ms) < MIN_BUDGET_MS
-        )
-
     def _dispatch_queued(self, now_ms: float) -> list[OwnerAction]:
         """Dispatch queued exchanges as far as slots, pauses and connections allow."""
         actions: list[OwnerAction] = []
@@ -312,10 +294,7 @@
         if self._cold_start.cold and len(self._running) >= self._concurrency_limit():
             return False
         withheld_slots = self.server.slots - self.slots
-        return all(
-            self._leaf_in_flight[shard] < self._leaf_slots[shard] - withheld_slots
-            for shard in submitted.exchange.shards
-        )
+        return self._leaf_slots.are_free(submitted.exchange.shards, withheld_slots)
 
     def _start(
         self, submitted: SubmittedExchange, connection_id: int, now_ms: float
@@ -324,15 +303,10 @@
         submitted.sent_ms = now_ms
         submitted.connection_id = connection_id
         self._running[connection_id] = submitted
-        for shard in submitted.exchange.shards:
-            self._leaf_in_flight[shard] += 1
+        self._leaf_slots.take(submitted.exchange.shards)
         budget_ms = submitted.remaining_ms(now_ms)
         return Dispatch(self.server.name, connection_id, submitted.exchange, budget_ms)
 
-    def _release(self, submitted: SubmittedExchange) -> None:
-        for shard in submitted.exchange.shards:
-            self._leaf_in_flight[shard] -= 1
-
     def _delay_next(self, latency_ms: float, now_ms: float) -> None:
         """Delay the next exchange of a server that may use less than one slot."""
         share = self.slots * self._cold_start.fraction
@@ -389,7 +363,7 @@
         self, submitted: SubmittedExchange, now_ms: float
     ) -> list[OwnerAction]:
         self._running.pop(submitted.connection_id, None)
-        self._release(submitted)
+        self._leaf_slots.give_back(submitted.exchange.shards)
         self._breaker.failed(False, now_ms)
         actions: list[OwnerAction] = [self._pool.close(submitted.connection_id)]
         actions += self._pool.verify_idle(now_ms)
@@ -399,8 +373,7 @@
         return actions
 
     def _reject_all(self, reason: Reason, now_ms: float) -> list[OwnerAction]:
-        queued, self._queue = self._queue, []
-        return [self._reject(submitted, reason, now_ms) for submitted in queued]
+        return [self._reject(s, reason, now_ms) for s in self._queue.take_all()]
 
     def _reject(
         self, submitted: SubmittedExchange, reason: Reason, now_ms: float
--- a/src/snipemount/experiments/report.py
+++ b/src/snipemount/experiments/report.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from .world import Sample
+    from .samples import Sample
 
 
 @attrs.frozen
--- a/src/snipemount/node/answer_store.py
+++ b/src/snipemount/node/answer_store.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from ..decisions.claims import MAX_OUTCOME_CHARS
 from ..errors import ResultCode
 from ..model.answer import Answer, Coverage, MissingShard
 from ..model.exchange import Hit, Reason
@@ -34,6 +35,15 @@
     return json.dumps(answer_document(answer), separators=(",", ":"))
 
 
+def outcome_text(answer: Answer) -> str:
+    """Return the text to store as the outcome of a claim.
+
+    It is empty for an answer that is not OK, or too large.
+    """
+    text = answer_to_text(answer) if answer.code is ResultCode.OK else ""
+    return text if len(text) <= MAX_OUTCOME_CHARS else ""
+
+
 def answer_from_text(text: str) -> Answer | None:
     """Decode text written by `answer_to_text`; return None if it is malformed.
 
@@ -81,4 +91,4 @@
     return Coverage(document["shards_total"], document["shards_answered"], missing)
 
 
-__all__ = ["answer_document", "answer_from_text", "answer_to_text"]
+__all__ = ["answer_document", "answer_from_text", "answer_to_text", "outcome_text"]
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -9,7 +9,6 @@
 import attrs
 
 from ..decisions.claims import (
-    MAX_OUTCOME_CHARS,
     AlreadyClaimed,
     ClaimRecord,
     ClaimState,
@@ -28,7 +27,7 @@
 from ..histograms import Histograms, Series
 from ..model.answer import Answer
 from ..model.exchange import ExchangeReply, Fate, Reason
-from .answer_store import answer_from_text, answer_to_text
+from .answer_store import answer_from_text, outcome_text
 from .jobs import Job, PendingExchange
 from .proof_gate import Admitted, ProofGate, Quarantined, WaitsForProof
 from .service_states import ServiceStates
@@ -386,15 +385,9 @@
             self._end_exchange(exchange, Fate.MAY_HAVE_RUN, Reason.PEER_LOST)
 
     def _store_outcome(self, job: Job, claim: ClaimRecord, answer: Answer) -> None:
-        """Store the outcome in the record of the claimed key.
-
-        The answer itself is stored only if it is OK and not too large.
-        """
+        """Store the outcome in the record of the claimed key."""
         state = ClaimState.NOT_RUN if answer.not_run else ClaimState.DONE
-        text = answer_to_text(answer) if answer.code is ResultCode.OK else ""
-        if len(text) > MAX_OUTCOME_CHARS:
-            text = ""
-        record = attrs.evolve(claim, state=state, outcome=text)
+        record = attrs.evolve(claim, state=state, outcome=outcome_text(answer))
         self._claimer.store_outcome(job.request.service, record)
 
 
--- a/tests/steps/sandbox_steps.py
+++ b/tests/steps/sandbox_steps.py
@@ -10,7 +10,7 @@
 from small_world import SMALL_PLAN
 
 from snipemount.adapters.caller_http import HISTOGRAM_PATH, QUERY_PATH
-from snipemount.experiments.world import expected_hits
+from snipemount.experiments.samples import expected_hits
 from snipemount.model.request import Request
 from snipemount.standins.backend_model import canonical_query
 from snipemount.standins.deployments import LOOPBACK
