--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -15,7 +15,7 @@
 import attrs
 
 from snipemount.adapters.mesh_codec import FrameEncoder
-from snipemount.decisions.membership import Member
+from snipemount.decisions.fleet.membership import Member
 from snipemount.experiments.world import World
 from snipemount.ports.peer import PeerMessage
 from snipemount.standins.deployments import DeploymentPlan, ServicePlan
--- a/benchmarks/entry_memory.py
+++ b/benchmarks/entry_memory.py
@@ -14,14 +14,18 @@
 
 import attrs
 
-from snipemount.decisions.canary_analysis import Baseline, CanaryAnalysis, Observation
-from snipemount.decisions.claims import ClaimBucket, ClaimRecord, PendingClaim
-from snipemount.decisions.latency_reference import LatencyReference
-from snipemount.decisions.membership import Member, Membership
-from snipemount.decisions.ownership import Ownership
-from snipemount.decisions.quarantine import Quarantine
-from snipemount.decisions.server_owner import ServerOwner
-from snipemount.decisions.service_state import ServiceState
+from snipemount.decisions.fleet.membership import Member, Membership
+from snipemount.decisions.fleet.ownership import Ownership
+from snipemount.decisions.moves.canary_analysis import (
+    Baseline,
+    CanaryAnalysis,
+    Observation,
+)
+from snipemount.decisions.query.service_state import ServiceState
+from snipemount.decisions.requests.claims import ClaimBucket, ClaimRecord, PendingClaim
+from snipemount.decisions.requests.quarantine import Quarantine
+from snipemount.decisions.servers.latency_reference import LatencyReference
+from snipemount.decisions.servers.server_owner import ServerOwner
 from snipemount.model.fleet import BackendServer, ServerLeaf, ShardMap, Snapshot
 from snipemount.model.profile import Profile
 
--- a/benchmarks/leg_cost.py
+++ b/benchmarks/leg_cost.py
@@ -25,10 +25,10 @@
 from snipemount.adapters.backend_http import LEG_PATH, HttpBackend
 from snipemount.adapters.leg_codec import decode_exchange_document
 from snipemount.adapters.mesh_codec import FrameEncoder, decode_frame
-from snipemount.decisions.owner_messages import Answered, BackendOutcome
-from snipemount.decisions.query_run import QueryRun
-from snipemount.decisions.run_actions import SendExchange
-from snipemount.decisions.service_state import ServiceState
+from snipemount.decisions.query.query_run import QueryRun
+from snipemount.decisions.query.run_actions import SendExchange
+from snipemount.decisions.query.service_state import ServiceState
+from snipemount.decisions.servers.owner_messages import Answered, BackendOutcome
 from snipemount.model.exchange import Exchange, ExchangeReply, Fate, Partial
 from snipemount.model.fleet import BackendServer, ServerLeaf, ShardMap, Snapshot
 from snipemount.model.profile import Profile
--- a/benchmarks/mechanisms.py
+++ b/benchmarks/mechanisms.py
@@ -18,16 +18,12 @@
 from behave.runner import Runner
 
 from snipemount.adapters import strict_json
-from snipemount.decisions import (
-    admission,
-    canary_analysis,
-    cold_start,
-    merge,
-    ownership,
-    quarantine,
-    query_run,
-)
-from snipemount.decisions.claims import ClaimBucket
+from snipemount.decisions.fleet import ownership
+from snipemount.decisions.moves import canary_analysis
+from snipemount.decisions.query import admission, merge, query_run
+from snipemount.decisions.requests import quarantine
+from snipemount.decisions.requests.claims import ClaimBucket
+from snipemount.decisions.servers import cold_start
 from snipemount.node import catalogue, entry
 
 TESTS = Path(__file__).parents[1] / "tests"
--- a/src/snipemount/adapters/backend_http.py
+++ b/src/snipemount/adapters/backend_http.py
@@ -8,7 +8,7 @@
 import aiohttp
 import attrs
 
-from ..decisions.owner_messages import Lost, NotConnected, Refused, Stopped
+from ..decisions.servers.owner_messages import Lost, NotConnected, Refused, Stopped
 from ..errors import DecodeError
 from ..model.exchange import Reason
 from ..ports.backend import BackendPort
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from ..decisions.owner_messages import BackendOutcome
+    from ..decisions.servers.owner_messages import BackendOutcome
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
 
--- a/src/snipemount/adapters/leg_codec.py
+++ b/src/snipemount/adapters/leg_codec.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from ..decisions.owner_messages import Answered
+from ..decisions.servers.owner_messages import Answered
 from ..errors import DecodeError
 from ..model.exchange import Exchange, Hit, Partial
 from . import strict_json
--- a/src/snipemount/adapters/mesh_codec.py
+++ b/src/snipemount/adapters/mesh_codec.py
@@ -9,9 +9,9 @@
 import attrs
 import cbor2
 
-from ..decisions.canary_analysis import EvidenceReport
-from ..decisions.membership import Member
-from ..decisions.quarantine import StrikeNotice
+from ..decisions.fleet.membership import Member
+from ..decisions.moves.canary_analysis import EvidenceReport
+from ..decisions.requests.quarantine import StrikeNotice
 from ..errors import DecodeError
 from ..model.exchange import (
     Attempt,
--- a/src/snipemount/adapters/peer_websocket.py
+++ b/src/snipemount/adapters/peer_websocket.py
@@ -22,7 +22,7 @@
     from websockets.asyncio.client import ClientConnection
     from websockets.asyncio.server import Server, ServerConnection
 
-    from ..decisions.membership import Member
+    from ..decisions.fleet.membership import Member
     from ..ports.peer import PeerMessage
     from ..timers import LoopTimers
 
--- a/src/snipemount/daemon.py
+++ b/src/snipemount/daemon.py
@@ -14,7 +14,7 @@
 from .adapters.credentials import Credentials
 from .adapters.peer_websocket import WebsocketPeers
 from .adapters.result_code_runner import ResultCodeRunner
-from .decisions.membership import Member
+from .decisions.fleet.membership import Member
 from .errors import SettingsError
 from .logs import make_logger
 from .metrics import make_metrics
--- /dev/null
+++ b/src/snipemount/decisions/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates and buckets that other decisions are built from."""
--- /dev/null
+++ b/src/snipemount/decisions/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons and availability zones: membership, ownership, relays, shared limits."""
--- a/src/snipemount/decisions/coordinators.py
+++ b/src/snipemount/decisions/fleet/coordinators.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..model.leaf import Leaf
-    from ..ports.relay import DaemonAddress
+    from ...model.leaf import Leaf
+    from ...ports.relay import DaemonAddress
 
 MIN_CAPACITY_SHARE = 0.5  # of the largest VM
 MIN_SHARD_SHARE = 0.8  # of the shards in the zone that holds most
--- a/src/snipemount/decisions/neighbours.py
+++ b/src/snipemount/decisions/fleet/neighbours.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..model.fleet import BackendServer
+    from ...model.fleet import BackendServer
     from .membership import Member
     from .ownership import Ownership
 
--- a/src/snipemount/decisions/ownership.py
+++ b/src/snipemount/decisions/fleet/ownership.py
@@ -8,7 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from ..model.fleet import BackendServer
+    from ...model.fleet import BackendServer
     from .membership import Membership
 
 
--- a/src/snipemount/decisions/relay_order.py
+++ b/src/snipemount/decisions/fleet/relay_order.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..ports.relay import DaemonAddress
+    from ...ports.relay import DaemonAddress
 
 
 FIRST_CANDIDATES = 2
--- a/src/snipemount/decisions/zone_reachability.py
+++ b/src/snipemount/decisions/fleet/zone_reachability.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from ..model.forwarding import (
+from ...model.forwarding import (
     NOT_ARRIVED_REASONS,
     LeafAnswer,
     NotRun,
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Set
 
-    from ..model.forwarding import AttemptOutcome
+    from ...model.forwarding import AttemptOutcome
 
 MIN_UNRESPONSIVE_LEAFS = 4
 MIN_MS_WITHOUT_RESPONSE = 250.0
--- /dev/null
+++ b/src/snipemount/decisions/leafs/__init__.py
@@ -0,0 +1,1 @@
+"""Leafs: directory, state of each, limits and choice for an attempt."""
--- a/src/snipemount/decisions/leaf_directory.py
+++ b/src/snipemount/decisions/leafs/leaf_directory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterable
 
-    from ..model.leaf import Leaf
+    from ...model.leaf import Leaf
     from .leaf_state import LeafStatements
 
 # Leafs whose entries lapsed in an outage have registered again within this time.
--- a/src/snipemount/decisions/leaf_limit.py
+++ b/src/snipemount/decisions/leafs/leaf_limit.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from .token_bucket import TokenBucket
+from ..estimates.token_bucket import TokenBucket
 
 MS_PER_S = 1000.0
 # Requests that all daemons may send at once after a pause: those of one second, and
--- a/src/snipemount/decisions/leaf_state.py
+++ b/src/snipemount/decisions/leafs/leaf_state.py
@@ -11,8 +11,8 @@
 from .cold_limit import ColdAttempts
 
 if TYPE_CHECKING:
-    from ..model.forwarding import LoadReport
-    from ..model.leaf import Leaf
+    from ...model.forwarding import LoadReport
+    from ...model.leaf import Leaf
     from .leaf_limit import LeafLimit
 
 # Weights are those of a new sample in a moving average; *_DECAY_MS are time constants
--- /dev/null
+++ b/src/snipemount/decisions/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: their plan, and the analysis of the new version."""
--- a/src/snipemount/decisions/move_plan.py
+++ b/src/snipemount/decisions/moves/move_plan.py
@@ -9,10 +9,10 @@
 
 import attrs
 
-from ..model.move import MoveState
+from ...model.move import MoveState
 
 if TYPE_CHECKING:
-    from ..model.move import MoveRecord
+    from ...model.move import MoveRecord
 
 CANARY_SHARE = 0.045
 CANARY_SAMPLES = 60
--- /dev/null
+++ b/src/snipemount/decisions/query/__init__.py
@@ -0,0 +1,1 @@
+"""Queries over all shards: admission, timing, hedges, merge and answer."""
--- a/src/snipemount/decisions/admission.py
+++ b/src/snipemount/decisions/query/admission.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..model.request import Priority
+from ...model.request import Priority
 from .fair_share import FairShare
 
 if TYPE_CHECKING:
-    from ..model.profile import QueueLimits
-    from ..model.request import Request
+    from ...model.profile import QueueLimits
+    from ...model.request import Request
 
 LIMIT_FACTOR = {Priority.URGENT: 1.6, Priority.NORMAL: 1.0, Priority.BULK: 0.6}
 WAIT_FACTOR = {Priority.URGENT: 1.0, Priority.NORMAL: 0.75, Priority.BULK: 0.4}
--- a/src/snipemount/decisions/answer_timing.py
+++ b/src/snipemount/decisions/query/answer_timing.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..model.configuration import ToAllShards
-from .quantile import QuantileEstimate
-from .recent_latencies import RecentLatencies
+from ...model.configuration import ToAllShards
+from ..estimates.quantile import QuantileEstimate
+from ..estimates.recent_latencies import RecentLatencies
 
 if TYPE_CHECKING:
-    from ..model.configuration import Route
+    from ...model.configuration import Route
 
 TYPICAL_QUANTILE = 0.5
 HEDGE_QUANTILE = 0.95  # for queries over at most SHARDS_AT_HEDGE_QUANTILE shards
--- a/src/snipemount/decisions/exchange_of_request.py
+++ b/src/snipemount/decisions/query/exchange_of_request.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..model.exchange import Exchange
+from ...model.exchange import Exchange
 
 if TYPE_CHECKING:
-    from ..model.exchange import Attempt
-    from ..model.request import Request
-    from .placement import ServerAssignment
+    from ...model.exchange import Attempt
+    from ...model.request import Request
+    from ..servers.placement import ServerAssignment
 
 
 def exchange_for(
--- a/src/snipemount/decisions/extra_load.py
+++ b/src/snipemount/decisions/query/extra_load.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..model.profile import ExtraLoadLimits
+    from ...model.profile import ExtraLoadLimits
 
 FAULT_PERIOD_MS = 3000.0
 INITIAL_TOKENS = 2.0
--- a/src/snipemount/decisions/merge.py
+++ b/src/snipemount/decisions/query/merge.py
@@ -7,13 +7,13 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
-from ..model.answer import Coverage, MissingShard
-from ..model.exchange import Reason
+from ...model.answer import Coverage, MissingShard
+from ...model.exchange import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..model.exchange import Hit, Partial
+    from ...model.exchange import Hit, Partial
 
 
 class MergeResult(IntEnum):
--- a/src/snipemount/decisions/observed_outcomes.py
+++ b/src/snipemount/decisions/query/observed_outcomes.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from ..errors import ResultCode
-from ..model.exchange import Reason
+from ...errors import ResultCode
+from ...model.exchange import Reason
 
 if TYPE_CHECKING:
-    from ..model.exchange import Fate
+    from ...model.exchange import Fate
     from .merge import Merge
 
 OVERLOAD_REASONS = frozenset(
--- a/src/snipemount/decisions/query_run.py
+++ b/src/snipemount/decisions/query/query_run.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import ResultCode
-from ..model.answer import Answer
-from ..model.exchange import Attempt, Exchange, ExchangeReply, Fate, Reason
+from ...errors import ResultCode
+from ...model.answer import Answer
+from ...model.exchange import Attempt, Exchange, ExchangeReply, Fate, Reason
 from .exchange_of_request import exchange_for
 from .merge import Merge, MergeResult
 from .observed_outcomes import ObservedOutcomes
@@ -21,9 +21,9 @@
 )
 
 if TYPE_CHECKING:
-    from ..model.fleet import ShardMap
-    from ..model.request import Request
-    from .placement import ServerAssignment
+    from ...model.fleet import ShardMap
+    from ...model.request import Request
+    from ..servers.placement import ServerAssignment
     from .service_state import ServiceState
 
 ANSWER_MARGIN_MS = 4.0
--- a/src/snipemount/decisions/run_actions.py
+++ b/src/snipemount/decisions/query/run_actions.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ..model.answer import Answer
-from ..model.exchange import Exchange
+from ...model.answer import Answer
+from ...model.exchange import Exchange
 
 
 @attrs.frozen
--- a/src/snipemount/decisions/service_state.py
+++ b/src/snipemount/decisions/query/service_state.py
@@ -5,20 +5,20 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..model.exchange import Fate
+from ...model.exchange import Fate
+from ..estimates.quantile import QuantileEstimate
+from ..servers.fleet_view import FAILURE_REASONS, FleetView
+from ..servers.placement import Placer
 from .admission import Admission
 from .extra_load import ExtraLoadBudget
-from .fleet_view import FAILURE_REASONS, FleetView
-from .placement import Placer
-from .quantile import QuantileEstimate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from random import Random
 
-    from ..model.exchange import ExchangeReply
-    from ..model.fleet import ShardMap
-    from ..model.profile import Profile
+    from ...model.exchange import ExchangeReply
+    from ...model.fleet import ShardMap
+    from ...model.profile import Profile
 
 INITIAL_HEDGE_DELAY_MS = 60.0
 INITIAL_MEDIAN_MS = 20.0
--- /dev/null
+++ b/src/snipemount/decisions/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Single requests: routes, profiles, claims, quarantine and budget of attempts."""
--- a/src/snipemount/decisions/extra_attempts.py
+++ b/src/snipemount/decisions/requests/extra_attempts.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from .token_bucket import TokenBucket
+from ..estimates.token_bucket import TokenBucket
 
 # Transit delays differ, so more attempts may arrive in a window than left in one.
 TRANSIT_MARGIN = 0.95
--- a/src/snipemount/decisions/profile_check.py
+++ b/src/snipemount/decisions/requests/profile_check.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ..errors import RequestError, ResultCode
-from ..model.profile import Profile
-from ..strict_tables import FieldError, convert_table
+from ...errors import RequestError, ResultCode
+from ...model.profile import Profile
+from ...strict_tables import FieldError, convert_table
 
 MAX_ROUTES = 100
 MAX_NAME_CHARS = 100
--- a/src/snipemount/decisions/route_table.py
+++ b/src/snipemount/decisions/requests/route_table.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..model.configuration import Route
+    from ...model.configuration import Route
 
 
 class RouteTable:
--- a/src/snipemount/decisions/weighted_round_robin.py
+++ b/src/snipemount/decisions/requests/weighted_round_robin.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..model.configuration import WeightedService
+    from ...model.configuration import WeightedService
 
 
 class WeightedRoundRobin:
--- a/src/snipemount/decisions/cold_start.py
+++ b/src/snipemount/decisions/servers/cold_start.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..model.profile import ColdStartLimits
+    from ...model.profile import ColdStartLimits
     from .latency_reference import LatencyReference
 
 SLOW_RATIO = 2.0  # latency of a slow answer to the median latency
--- a/src/snipemount/decisions/exchange_queue.py
+++ b/src/snipemount/decisions/servers/exchange_queue.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ..model.profile import QueueLimits
+    from ...model.profile import QueueLimits
     from .owner_messages import SubmittedExchange
 
 MIN_BUDGET_MS = 1.0
--- a/src/snipemount/decisions/fleet_view.py
+++ b/src/snipemount/decisions/servers/fleet_view.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from ..model.exchange import Fate, Reason, ServerLoad
+from ...model.exchange import Fate, Reason, ServerLoad
 
 if TYPE_CHECKING:
-    from ..model.exchange import ExchangeReply
+    from ...model.exchange import ExchangeReply
 
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_MS = 1000.0
--- a/src/snipemount/decisions/latency_reference.py
+++ b/src/snipemount/decisions/servers/latency_reference.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .quantile import QuantileEstimate
+from ..estimates.quantile import QuantileEstimate
 
 MIN_SAMPLES = 30
 # One in this many servers may be marked as slow, but always at least one.
--- a/src/snipemount/decisions/leaf_slots.py
+++ b/src/snipemount/decisions/servers/leaf_slots.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..model.fleet import ServerLeaf
+    from ...model.fleet import ServerLeaf
 
 
 class LeafSlots:
--- a/src/snipemount/decisions/owner_events.py
+++ b/src/snipemount/decisions/servers/owner_events.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from ..model.exchange import Exchange
-from ..model.fleet import BackendServer
+from ...model.exchange import Exchange
+from ...model.fleet import BackendServer
 from .owner_messages import Answered, Lost, NotConnected, Origin, Refused, Stopped
 
 
--- a/src/snipemount/decisions/owner_messages.py
+++ b/src/snipemount/decisions/servers/owner_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..model.exchange import Exchange, ExchangeReply, Partial, Reason
+from ...model.exchange import Exchange, ExchangeReply, Partial, Reason
 from .connections import ConnectionAction
 
 
--- a/src/snipemount/decisions/placement.py
+++ b/src/snipemount/decisions/servers/placement.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable, Mapping
     from random import Random
 
-    from ..model.fleet import BackendServer, ShardMap
+    from ...model.fleet import BackendServer, ShardMap
     from .fleet_view import FleetView
 
 OTHER_ZONE_PENALTY_MS = 8.0
--- a/src/snipemount/decisions/server_owner.py
+++ b/src/snipemount/decisions/servers/server_owner.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..model.exchange import (
+from ...model.exchange import (
     Exchange,
     ExchangeReply,
     Fate,
@@ -35,8 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ..model.fleet import BackendServer
-    from ..model.profile import Profile
+    from ...model.fleet import BackendServer
+    from ...model.profile import Profile
     from .latency_reference import LatencyReference
 
 INITIAL_SERVICE_MS = 20.0
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -19,11 +19,11 @@
 from .adapters.prometheus_metrics import PrometheusMetrics
 from .adapters.relay_websocket import WebsocketRelay
 from .bounded_writer import BoundedWriter
-from .decisions.leaf_choice import LeafChoice
-from .decisions.leaf_directory import LeafDirectory
-from .decisions.readiness_checks import ReadinessChecks
-from .decisions.vm_capacity import max_running_legs
-from .decisions.zone_reachability import ZoneReachability
+from .decisions.fleet.readiness_checks import ReadinessChecks
+from .decisions.fleet.vm_capacity import max_running_legs
+from .decisions.fleet.zone_reachability import ZoneReachability
+from .decisions.leafs.leaf_choice import LeafChoice
+from .decisions.leafs.leaf_directory import LeafDirectory
 from .entry_settings import (
     age_limits,
     cold_limit,
--- a/src/snipemount/entry_settings.py
+++ b/src/snipemount/entry_settings.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from .decisions.cold_limit import ColdLimit
-from .decisions.extra_attempts import ExtraAttemptLimit
-from .decisions.state_age import StateAgeLimits
-from .decisions.vm_capacity import legs_per_s
+from .decisions.fleet.state_age import StateAgeLimits
+from .decisions.fleet.vm_capacity import legs_per_s
+from .decisions.leafs.cold_limit import ColdLimit
+from .decisions.requests.extra_attempts import ExtraAttemptLimit
 from .ports.platform import Kind
 from .ports.relay import DaemonAddress
 
--- a/src/snipemount/experiments/fake_platform.py
+++ b/src/snipemount/experiments/fake_platform.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..decisions.state_age import MAX_WATCH_WAIT_MS
+from ..decisions.fleet.state_age import MAX_WATCH_WAIT_MS
 from ..ports.platform import Confirmed, Expired, Failed, Kind, PlatformPort, Watch
 
 if TYPE_CHECKING:
--- a/src/snipemount/experiments/fakes.py
+++ b/src/snipemount/experiments/fakes.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..decisions.owner_messages import NotConnected
+from ..decisions.servers.owner_messages import NotConnected
 from ..ports.backend import BackendPort
 from ..ports.peer import PeerPort
 from ..timers import Timer, TimerService
@@ -15,8 +15,8 @@
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.membership import Member
-    from ..decisions.owner_messages import BackendOutcome
+    from ..decisions.fleet.membership import Member
+    from ..decisions.servers.owner_messages import BackendOutcome
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..node.node import Node
--- a/src/snipemount/experiments/operator_orders.py
+++ b/src/snipemount/experiments/operator_orders.py
@@ -18,7 +18,7 @@
 from .world import World
 
 if TYPE_CHECKING:
-    from ..decisions.membership import Member
+    from ..decisions.fleet.membership import Member
     from ..standins.backend_model import BackendModel, Behaviour
 
 SMALL_PLAN = DeploymentPlan(
--- a/src/snipemount/experiments/round_robin.py
+++ b/src/snipemount/experiments/round_robin.py
@@ -6,8 +6,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from ..decisions.fleet_view import FleetView
-from ..decisions.placement import Placer
+from ..decisions.servers.fleet_view import FleetView
+from ..decisions.servers.placement import Placer
 
 if TYPE_CHECKING:
     from ..model.fleet import BackendServer
--- a/src/snipemount/experiments/serving.py
+++ b/src/snipemount/experiments/serving.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.membership import Membership
+    from ..decisions.fleet.membership import Membership
     from ..model.profile import Profile
     from ..model.request import Request
     from ..node.sharing import Sharing
--- a/src/snipemount/experiments/soak.py
+++ b/src/snipemount/experiments/soak.py
@@ -17,7 +17,7 @@
 from .world import World
 
 if TYPE_CHECKING:
-    from ..decisions.membership import Member
+    from ..decisions.fleet.membership import Member
 
 ROUNDS = 12
 ROUND_MS = 8000.0
--- a/src/snipemount/experiments/workload.py
+++ b/src/snipemount/experiments/workload.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.membership import Membership
+    from ..decisions.fleet.membership import Membership
     from ..model.profile import Profile
     from ..node.sharing import Sharing
     from ..standins.backend_model import Behaviour
--- a/src/snipemount/experiments/world.py
+++ b/src/snipemount/experiments/world.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.membership import Member, Membership
+    from ..decisions.fleet.membership import Member, Membership
     from ..model.answer import Answer
     from ..model.catalogue import ServiceRecord
     from ..model.profile import Profile
--- a/src/snipemount/node/admin_commands.py
+++ b/src/snipemount/node/admin_commands.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..decisions.profile_check import check_profile
+from ..decisions.requests.profile_check import check_profile
 from ..errors import (
     ConflictError,
     NotFoundError,
--- a/src/snipemount/node/admin_queries.py
+++ b/src/snipemount/node/admin_queries.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..decisions.profile_check import check_profile, differences
+from ..decisions.requests.profile_check import check_profile, differences
 from ..errors import NotFoundError
 from ..ports.peer import SHARED_KINDS
 from ..ports.platform import Kind
--- a/src/snipemount/node/answer_store.py
+++ b/src/snipemount/node/answer_store.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from ..decisions.claims import MAX_OUTCOME_CHARS
+from ..decisions.requests.claims import MAX_OUTCOME_CHARS
 from ..errors import ResultCode
 from ..model.answer import Answer, Coverage, MissingShard
 from ..model.exchange import Hit, Reason
--- a/src/snipemount/node/catalogue.py
+++ b/src/snipemount/node/catalogue.py
@@ -7,7 +7,7 @@
 import attrs
 import cattrs
 
-from ..decisions.membership import Member
+from ..decisions.fleet.membership import Member
 from ..model.catalogue import ServiceRecord, ZoneRecord
 from ..model.move import MoveRecord
 from ..model.profile import Profile
--- a/src/snipemount/node/claimer.py
+++ b/src/snipemount/node/claimer.py
@@ -7,7 +7,7 @@
 import attrs
 import cattrs
 
-from ..decisions.claims import (
+from ..decisions.requests.claims import (
     CLAIM_TIMEOUT_MS,
     ClaimBucket,
     ClaimRecord,
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.claims import BucketAction, ClaimResult
+    from ..decisions.requests.claims import BucketAction, ClaimResult
     from ..ports.platform import PlatformPort, ReadResult, WriteResult
     from ..timers import TimerService
 
--- a/src/snipemount/node/entry.py
+++ b/src/snipemount/node/entry.py
@@ -8,21 +8,21 @@
 
 import attrs
 
-from ..decisions.claims import (
-    AlreadyClaimed,
-    ClaimRecord,
-    ClaimState,
-    Granted,
-    Unavailable,
-)
-from ..decisions.query_run import QueryRun
-from ..decisions.run_actions import (
+from ..decisions.query.query_run import QueryRun
+from ..decisions.query.run_actions import (
     CancelExchange,
     Finish,
     Restart,
     SendExchange,
     WakeAt,
 )
+from ..decisions.requests.claims import (
+    AlreadyClaimed,
+    ClaimRecord,
+    ClaimState,
+    Granted,
+    Unavailable,
+)
 from ..errors import ResultCode
 from ..histograms import Histograms, Series
 from ..model.answer import Answer
@@ -37,10 +37,10 @@
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.claims import ClaimResult
-    from ..decisions.quarantine import Quarantine
-    from ..decisions.run_actions import RunAction
-    from ..decisions.service_state import ServiceState
+    from ..decisions.query.run_actions import RunAction
+    from ..decisions.query.service_state import ServiceState
+    from ..decisions.requests.claims import ClaimResult
+    from ..decisions.requests.quarantine import Quarantine
     from ..model.exchange import Exchange
     from ..model.fleet import ShardMap
     from ..model.request import Request
--- a/src/snipemount/node/jobs.py
+++ b/src/snipemount/node/jobs.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.claims import ClaimRecord
-    from ..decisions.query_run import QueryRun
+    from ..decisions.query.query_run import QueryRun
+    from ..decisions.requests.claims import ClaimRecord
     from ..model.answer import Answer
     from ..model.exchange import Exchange, ExchangeReply
     from ..model.request import Request
--- a/src/snipemount/node/mover.py
+++ b/src/snipemount/node/mover.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from ..decisions.canary_analysis import Baseline, CanaryAnalysis, Observation
-from ..decisions.fleet_view import FAILURE_REASONS
-from ..decisions.move_plan import MoveEvidence, MovePlan
+from ..decisions.moves.canary_analysis import Baseline, CanaryAnalysis, Observation
+from ..decisions.moves.move_plan import MoveEvidence, MovePlan
+from ..decisions.servers.fleet_view import FAILURE_REASONS
 from ..model.exchange import Attempt, Fate, Reason
 from ..model.move import EventRecord, MoveRecord, MoveState
 from ..ports.peer import ReportBadMove, ReportEvidence
@@ -21,7 +21,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.membership import Membership
+    from ..decisions.fleet.membership import Membership
     from ..model.exchange import Exchange, ExchangeReply
     from ..ports.peer import PeerMessage
     from ..ports.platform import PlatformPort, ReadResult, WriteResult
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ..decisions.membership import HEARTBEAT_PERIOD_MS, Member, Membership
-from ..decisions.owner_messages import Origin
-from ..decisions.quarantine import Quarantine, StrikeNotice
+from ..decisions.fleet.membership import HEARTBEAT_PERIOD_MS, Member, Membership
+from ..decisions.requests.quarantine import Quarantine, StrikeNotice
+from ..decisions.servers.owner_messages import Origin
 from ..ports.peer import (
     DaemonStopped,
     Heartbeat,
@@ -38,7 +38,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.owner_messages import Strike
+    from ..decisions.servers.owner_messages import Strike
     from ..model.answer import Answer
     from ..model.exchange import Exchange, ExchangeReply
     from ..model.fleet import BackendServer
--- a/src/snipemount/node/owner.py
+++ b/src/snipemount/node/owner.py
@@ -5,10 +5,14 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from ..decisions.connections import CloseConnection, OpenConnection, PingConnection
-from ..decisions.latency_reference import LatencyReference
-from ..decisions.owner_dispatch import handle
-from ..decisions.owner_events import (
+from ..decisions.servers.connections import (
+    CloseConnection,
+    OpenConnection,
+    PingConnection,
+)
+from ..decisions.servers.latency_reference import LatencyReference
+from ..decisions.servers.owner_dispatch import handle
+from ..decisions.servers.owner_events import (
     Connected,
     ConnectFailed,
     ConnectionsChecked,
@@ -20,16 +24,16 @@
     Ticked,
     Withdrawn,
 )
-from ..decisions.owner_messages import CancelOnServer, Dispatch, Reply, Strike
-from ..decisions.server_owner import ServerOwner
+from ..decisions.servers.owner_messages import CancelOnServer, Dispatch, Reply, Strike
+from ..decisions.servers.server_owner import ServerOwner
 from ..model.exchange import ExchangeReply, Fate, Reason
 from .recorder import OwnershipStarted
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.owner_events import OwnerEvent
-    from ..decisions.owner_messages import BackendOutcome, Origin, OwnerAction
+    from ..decisions.servers.owner_events import OwnerEvent
+    from ..decisions.servers.owner_messages import BackendOutcome, Origin, OwnerAction
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..model.profile import Profile
--- a/src/snipemount/node/proof_gate.py
+++ b/src/snipemount/node/proof_gate.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from ..decisions.quarantine import Quarantine
+    from ..decisions.requests.quarantine import Quarantine
     from .jobs import Job
 
 
--- a/src/snipemount/node/recorder.py
+++ b/src/snipemount/node/recorder.py
@@ -10,18 +10,18 @@
 import cattrs
 from cattrs.strategies import configure_tagged_union
 
-from ..decisions import owner_events
-from ..decisions.latency_reference import LatencyReference
-from ..decisions.owner_dispatch import handle
-from ..decisions.owner_messages import BackendOutcome
-from ..decisions.server_owner import ServerOwner
+from ..decisions.servers import owner_events
+from ..decisions.servers.latency_reference import LatencyReference
+from ..decisions.servers.owner_dispatch import handle
+from ..decisions.servers.owner_messages import BackendOutcome
+from ..decisions.servers.server_owner import ServerOwner
 from ..errors import DecodeError
 from ..model.fleet import BackendServer
 from ..model.profile import Profile
 
 if TYPE_CHECKING:
-    from ..decisions.owner_events import OwnerEvent
-    from ..decisions.owner_messages import OwnerAction
+    from ..decisions.servers.owner_events import OwnerEvent
+    from ..decisions.servers.owner_messages import OwnerAction
 
 RING_LENGTH = 2000
 TRACE_VERSION = 1
--- a/src/snipemount/node/running_move.py
+++ b/src/snipemount/node/running_move.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from ..decisions.move_plan import MoveEvidence
+from ..decisions.moves.move_plan import MoveEvidence
 
 if TYPE_CHECKING:
-    from ..decisions.canary_analysis import CanaryAnalysis
-    from ..decisions.move_plan import MovePlan
+    from ..decisions.moves.canary_analysis import CanaryAnalysis
+    from ..decisions.moves.move_plan import MovePlan
     from ..model.move import MoveRecord
 
 
--- a/src/snipemount/node/service_states.py
+++ b/src/snipemount/node/service_states.py
@@ -5,7 +5,7 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from ..decisions.service_state import ServiceState
+from ..decisions.query.service_state import ServiceState
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/snipemount/node/sharing.py
+++ b/src/snipemount/node/sharing.py
@@ -5,8 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from ..decisions.neighbours import neighbours
-from ..decisions.ownership import (
+from ..decisions.fleet.neighbours import neighbours
+from ..decisions.fleet.ownership import (
     NO_SHARE,
     OwnerShare,
     Ownership,
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..decisions.membership import Membership
+    from ..decisions.fleet.membership import Membership
     from ..model.fleet import BackendServer
 
 
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..decisions.leaf_directory import DEFAULT_HEARTBEAT_MS
+from ..decisions.leafs.leaf_directory import DEFAULT_HEARTBEAT_MS
 from ..errors import SettingsError
 
 if TYPE_CHECKING:
--- a/src/snipemount/platform/reading_pace.py
+++ b/src/snipemount/platform/reading_pace.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.token_bucket import TokenBucket
+from ..decisions.estimates.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from ..decisions.state_age import MAX_WATCH_WAIT_MS
+from ..decisions.fleet.state_age import MAX_WATCH_WAIT_MS
 from ..errors import MALFORMED_INPUT_ERRORS
 from ..ports.platform import (
     Confirmed,
--- a/src/snipemount/ports/backend.py
+++ b/src/snipemount/ports/backend.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.owner_messages import BackendOutcome
+    from ..decisions.servers.owner_messages import BackendOutcome
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
 
--- a/src/snipemount/ports/peer.py
+++ b/src/snipemount/ports/peer.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ..decisions.canary_analysis import EvidenceReport
-from ..decisions.membership import Member
-from ..decisions.quarantine import StrikeNotice
+from ..decisions.fleet.membership import Member
+from ..decisions.moves.canary_analysis import EvidenceReport
+from ..decisions.requests.quarantine import StrikeNotice
 from ..model.exchange import Exchange, ExchangeReply
 from .platform import Kind, StoredObject
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-from ..decisions.answer_timing import LoopLag, RouteTiming
-from ..decisions.coordinators import coordinator_names
-from ..decisions.extra_attempts import ExtraAttemptBudget
-from ..decisions.limit_shares import ASSUMED_DAEMONS, LimitShares
+from ..decisions.fleet.coordinators import coordinator_names
+from ..decisions.fleet.limit_shares import ASSUMED_DAEMONS, LimitShares
+from ..decisions.query.answer_timing import LoopLag, RouteTiming
+from ..decisions.requests.extra_attempts import ExtraAttemptBudget
 from ..model.forwarding import RefusalReason, RequestRefused
 from ..model.leaf_notice import SILENT_NOTICE
 from .leaf_limits import LeafLimits
@@ -20,12 +20,12 @@
 
     from structlog.typing import FilteringBoundLogger
 
-    from ..decisions.cold_limit import ColdLimit
-    from ..decisions.extra_attempts import ExtraAttemptLimit
-    from ..decisions.leaf_choice import LeafChoice
-    from ..decisions.leaf_directory import LeafDirectory
-    from ..decisions.leaf_state import LeafState
-    from ..decisions.zone_reachability import ZoneReachability
+    from ..decisions.fleet.zone_reachability import ZoneReachability
+    from ..decisions.leafs.cold_limit import ColdLimit
+    from ..decisions.leafs.leaf_choice import LeafChoice
+    from ..decisions.leafs.leaf_directory import LeafDirectory
+    from ..decisions.leafs.leaf_state import LeafState
+    from ..decisions.requests.extra_attempts import ExtraAttemptLimit
     from ..model.configuration import Route, ToAllShards
     from ..model.leaf import Leaf
     from ..model.leaf_notice import LeafNotice
@@ -137,7 +137,7 @@
     def __attrs_post_init__(self) -> None:
         self.started_ms = self.timers.now_ms()
         self.limit_shares = LimitShares(self.own_name)
-        self.leaf_limits = LeafLimits(self)
+        self.leaf_limits = LeafLimits(self.directory, self, self.timers, self.logger)
 
     @property
     def daemon_count(self) -> int:
--- a/src/snipemount/serving/coordinator_links.py
+++ b/src/snipemount/serving/coordinator_links.py
@@ -6,8 +6,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from ..decisions.coordinators import ranked_coordinators, zones_with_most_shards
-from ..decisions.quantile import QuantileEstimate
+from ..decisions.estimates.quantile import QuantileEstimate
+from ..decisions.fleet.coordinators import ranked_coordinators, zones_with_most_shards
 from ..model.delegation import (
     ConfigurationAnnounced,
     ConfigurationOffered,
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..decisions.answer_timing import RouteTiming
+from ..decisions.query.answer_timing import RouteTiming
 from ..model.delegation import DelegatedQuery
 from ..model.forwarding import (
     FailureReason,
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -5,9 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..decisions.answer_timing import LAG_FACTOR, RouteTiming
-from ..decisions.route_table import RouteTable
-from ..decisions.weighted_round_robin import WeightedRoundRobin
+from ..decisions.query.answer_timing import LAG_FACTOR, RouteTiming
+from ..decisions.requests.route_table import RouteTable
+from ..decisions.requests.weighted_round_robin import WeightedRoundRobin
 from ..model.configuration import (
     CallerLimits,
     ToAllShards,
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..decisions.record_merge import greatest_records
+from ..decisions.query.record_merge import greatest_records
 from ..model.forwarding import (
     FailureReason,
     LeafAnswer,
--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -20,7 +20,7 @@
 
     from structlog.typing import FilteringBoundLogger
 
-    from ..decisions.state_age import StateAgeLimits
+    from ..decisions.fleet.state_age import StateAgeLimits
     from ..model.relay import RelayMessage
     from ..ports.platform import (
         Kind,
--- a/src/snipemount/serving/pending_attempt.py
+++ b/src/snipemount/serving/pending_attempt.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from ..decisions.leaf_state import LeafState
+    from ..decisions.leafs.leaf_state import LeafState
     from ..ports.leaf import AttemptHandle
 
 
--- a/src/snipemount/serving/relay_following.py
+++ b/src/snipemount/serving/relay_following.py
@@ -10,12 +10,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..decisions.relay_order import (
+from ..decisions.fleet.relay_order import (
     CandidateRotation,
     relay_candidates,
     succeeding_daemons,
 )
-from ..decisions.state_age import OUTDATED_SEEK_MS
+from ..decisions.fleet.state_age import OUTDATED_SEEK_MS
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS, is_response
+from ..decisions.fleet.zone_reachability import UNRESPONSIVE_AFTER_MS, is_response
 from ..model.forwarding import (
     NOT_ARRIVED_REASONS,
     LeafAnswer,
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.leaf_state import LeafState
+    from ..decisions.leafs.leaf_state import LeafState
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest
     from ..ports.leaf import AttemptReport
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.state_age import CHECK_PERIOD_MS
+from ..decisions.fleet.state_age import CHECK_PERIOD_MS
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
@@ -37,7 +37,7 @@
 
     from structlog.typing import FilteringBoundLogger
 
-    from ..decisions.state_age import StateAgeLimits
+    from ..decisions.fleet.state_age import StateAgeLimits
     from ..model.relay import RelayMessage
     from ..ports.platform import ListResult, PlatformPort, StoredObject
     from ..ports.relay import DaemonAddress, RelayPort
--- a/src/snipemount/soak/checks.py
+++ b/src/snipemount/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from ..decisions.record_merge import greatest_records
+from ..decisions.query.record_merge import greatest_records
 from ..standins.platform_leaf import records_for
 from .deployment import LEDGER, RECORDS_PER_LEAF, SHARDS, TOP_K
 from .records import CallerOutcome
--- a/src/snipemount/standins/backend_http.py
+++ b/src/snipemount/standins/backend_http.py
@@ -15,13 +15,13 @@
     STATUS_CANCELLED,
 )
 from ..adapters.leg_codec import decode_exchange_document, encode_answer
-from ..decisions.owner_messages import Answered, Lost, Refused, Stopped
+from ..decisions.servers.owner_messages import Answered, Lost, Refused, Stopped
 from ..errors import DecodeError
 from ..model.exchange import Exchange, Reason
 from ..model.request import Priority
 
 if TYPE_CHECKING:
-    from ..decisions.owner_messages import BackendOutcome
+    from ..decisions.servers.owner_messages import BackendOutcome
     from .backend_model import BackendModel
 
 
--- a/src/snipemount/standins/backend_model.py
+++ b/src/snipemount/standins/backend_model.py
@@ -11,14 +11,14 @@
 
 import attrs
 
-from ..decisions.owner_messages import Answered, Lost, Refused, Stopped
+from ..decisions.servers.owner_messages import Answered, Lost, Refused, Stopped
 from ..model.exchange import Hit, Partial, Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from ..decisions.owner_messages import BackendOutcome
+    from ..decisions.servers.owner_messages import BackendOutcome
     from ..model.exchange import Exchange
     from ..model.fleet import BackendServer
     from ..timers import Timer, TimerService
--- a/src/snipemount/standins/deployments.py
+++ b/src/snipemount/standins/deployments.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..decisions.membership import Member
+from ..decisions.fleet.membership import Member
 from ..model.catalogue import ServiceRecord, VersionRecord
 from ..model.fleet import BackendServer, ServerLeaf
 from ..model.profile import Profile, ProfileRoute
--- a/src/snipemount/standins/harness.py
+++ b/src/snipemount/standins/harness.py
@@ -42,7 +42,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ..decisions.membership import Member
+    from ..decisions.fleet.membership import Member
     from ..model.catalogue import ServiceRecord
     from .deployments import DeploymentPlan, ServicePlan
 
--- a/tests/steps/coordinator_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 from serving_world import make_leaf
 
-from snipemount.decisions.coordinators import (
+from snipemount.decisions.fleet.coordinators import (
     coordinator_names,
     ranked_coordinators,
     zones_with_most_shards,
 )
-from snipemount.decisions.limit_shares import LimitShares
+from snipemount.decisions.fleet.limit_shares import LimitShares
 from snipemount.ports.relay import DaemonAddress
 
 ZONES = (*LEAF_ZONES, "zone-d")
--- a/tests/steps/coverage_steps.py
+++ b/tests/steps/coverage_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from small_world import finished_samples
 
-from snipemount.decisions.merge import Merge, MergeResult
+from snipemount.decisions.query.merge import Merge, MergeResult
 from snipemount.errors import ResultCode
 from snipemount.model.exchange import Hit, Partial
 
--- a/tests/steps/decision_steps.py
+++ b/tests/steps/decision_steps.py
@@ -10,11 +10,15 @@
 from hypothesis import given as given_any
 from hypothesis import strategies as st
 
-from snipemount.decisions.membership import HEARTBEAT_PERIOD_MS, Member, Membership
-from snipemount.decisions.ownership import Ownership
-from snipemount.decisions.query_run import QueryRun
-from snipemount.decisions.run_actions import CancelExchange, Finish, SendExchange
-from snipemount.decisions.service_state import ServiceState
+from snipemount.decisions.fleet.membership import (
+    HEARTBEAT_PERIOD_MS,
+    Member,
+    Membership,
+)
+from snipemount.decisions.fleet.ownership import Ownership
+from snipemount.decisions.query.query_run import QueryRun
+from snipemount.decisions.query.run_actions import CancelExchange, Finish, SendExchange
+from snipemount.decisions.query.service_state import ServiceState
 from snipemount.errors import ResultCode
 from snipemount.model.exchange import Attempt, ExchangeReply, Fate, Hit, Partial
 from snipemount.model.fleet import BackendServer, ServerLeaf, ShardMap, Snapshot
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -12,10 +12,13 @@
 from hypothesis import strategies as st
 from serving_world import ServingWorld, make_leaf
 
-from snipemount.decisions.extra_attempts import ExtraAttemptBudget, ExtraAttemptLimit
-from snipemount.decisions.leaf_directory import LeafDirectory
-from snipemount.decisions.shares import share_of
-from snipemount.decisions.state_age import CHECK_PERIOD_MS, StateAgeLimits
+from snipemount.decisions.fleet.shares import share_of
+from snipemount.decisions.fleet.state_age import CHECK_PERIOD_MS, StateAgeLimits
+from snipemount.decisions.leafs.leaf_directory import LeafDirectory
+from snipemount.decisions.requests.extra_attempts import (
+    ExtraAttemptBudget,
+    ExtraAttemptLimit,
+)
 from snipemount.errors import DecodeError
 from snipemount.ports.platform import Kind, StoredObject
 from snipemount.serving.store_subscribers import LeafSubscriber
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -11,8 +11,8 @@
 from behave import given, then, when
 from serving_world import ServingWorld, make_configuration, make_leaf
 
-from snipemount.decisions.limit_shares import LimitShares
-from snipemount.decisions.state_age import StateAgeLimits
+from snipemount.decisions.fleet.limit_shares import LimitShares
+from snipemount.decisions.fleet.state_age import StateAgeLimits
 from snipemount.errors import DecodeError
 from snipemount.experiments.fake_platform import (
     FakePlatform,
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from fleet_world import LARGE, SMALL, FleetWorld
 
-from snipemount.decisions.relay_order import relay_candidates
+from snipemount.decisions.fleet.relay_order import relay_candidates
 from snipemount.ports.relay import DaemonAddress
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
--- a/tests/steps/fleet_world.py
+++ b/tests/steps/fleet_world.py
@@ -9,12 +9,12 @@
 import structlog
 from serving_world import HOST, make_leaf, make_route
 
-from snipemount.decisions.cold_limit import ColdLimit
-from snipemount.decisions.extra_attempts import ExtraAttemptLimit
-from snipemount.decisions.leaf_choice import LeafChoice
-from snipemount.decisions.leaf_directory import LeafDirectory
-from snipemount.decisions.vm_capacity import legs_per_s, max_running_legs
-from snipemount.decisions.zone_reachability import ZoneReachability
+from snipemount.decisions.fleet.vm_capacity import legs_per_s, max_running_legs
+from snipemount.decisions.fleet.zone_reachability import ZoneReachability
+from snipemount.decisions.leafs.cold_limit import ColdLimit
+from snipemount.decisions.leafs.leaf_choice import LeafChoice
+from snipemount.decisions.leafs.leaf_directory import LeafDirectory
+from snipemount.decisions.requests.extra_attempts import ExtraAttemptLimit
 from snipemount.model.configuration import (
     CallerLimits,
     Configuration,
--- a/tests/steps/leaf_limit_steps.py
+++ b/tests/steps/leaf_limit_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from serving_world import SHARDS, ServingWorld
 
-from snipemount.decisions.limit_shares import LimitShares
+from snipemount.decisions.fleet.limit_shares import LimitShares
 from snipemount.model.forwarding import Merged, RequestRefused
 from snipemount.model.leaf_notice import SILENT_NOTICE, LeafNotice, RequestLimit
 from snipemount.standins.scripted_leafs import ScriptedLeafs
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -13,10 +13,13 @@
     make_route,
 )
 
-from snipemount.decisions.answer_timing import hedge_delay_quantile
-from snipemount.decisions.extra_attempts import ExtraAttemptBudget, ExtraAttemptLimit
-from snipemount.decisions.leaf_choice import LeafChoice
-from snipemount.decisions.leaf_state import LeafState
+from snipemount.decisions.leafs.leaf_choice import LeafChoice
+from snipemount.decisions.leafs.leaf_state import LeafState
+from snipemount.decisions.query.answer_timing import hedge_delay_quantile
+from snipemount.decisions.requests.extra_attempts import (
+    ExtraAttemptBudget,
+    ExtraAttemptLimit,
+)
 from snipemount.model.configuration import ToAllShards
 from snipemount.model.forwarding import Merged, RequestRefused
 from snipemount.serving.service_call import HEDGE_BUDGET_SHARE
--- a/tests/steps/readiness_steps.py
+++ b/tests/steps/readiness_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then
 
-from snipemount.decisions.readiness_checks import CHECK_PERIOD_MS, ReadinessChecks
+from snipemount.decisions.fleet.readiness_checks import CHECK_PERIOD_MS, ReadinessChecks
 
 CHECKS = 5
 
--- a/tests/steps/serving_world.py
+++ b/tests/steps/serving_world.py
@@ -8,12 +8,12 @@
 import structlog
 
 from snipemount.adapters.prometheus_metrics import PrometheusMetrics
-from snipemount.decisions.cold_limit import ColdLimit
-from snipemount.decisions.extra_attempts import ExtraAttemptLimit
-from snipemount.decisions.leaf_choice import LeafChoice
-from snipemount.decisions.leaf_directory import LeafDirectory
-from snipemount.decisions.limit_shares import LimitShares
-from snipemount.decisions.zone_reachability import ZoneReachability
+from snipemount.decisions.fleet.limit_shares import LimitShares
+from snipemount.decisions.fleet.zone_reachability import ZoneReachability
+from snipemount.decisions.leafs.cold_limit import ColdLimit
+from snipemount.decisions.leafs.leaf_choice import LeafChoice
+from snipemount.decisions.leafs.leaf_directory import LeafDirectory
+from snipemount.decisions.requests.extra_attempts import ExtraAttemptLimit
 from snipemount.model.configuration import (
     CallerLimits,
     Configuration,
--- a/tests/steps/small_world.py
+++ b/tests/steps/small_world.py
@@ -5,7 +5,7 @@
 import attrs
 from behave import given, then, when
 
-from snipemount.decisions.membership import Membership
+from snipemount.decisions.fleet.membership import Membership
 from snipemount.experiments.world import World
 from snipemount.node.sharing import OwnedSharing
 from snipemount.standins.deployments import DeploymentPlan, ServicePlan
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from snipemount.decisions.record_merge import greatest_records
+from snipemount.decisions.query.record_merge import greatest_records
 from snipemount.soak.checks import check_safety, check_timing
 from snipemount.soak.deployment import RECORDS_PER_LEAF, SHARDS, TOP_K
 from snipemount.soak.records import (
--- a/tests/steps/state_age_steps.py
+++ b/tests/steps/state_age_steps.py
@@ -18,13 +18,13 @@
     decode_relay,
     encode_relay,
 )
-from snipemount.decisions.leaf_state import LeafState
-from snipemount.decisions.state_age import (
+from snipemount.decisions.fleet.state_age import (
     CHECK_PERIOD_MS,
     OUTDATED_SEEK_MS,
     READ_MS,
     StateAgeLimits,
 )
+from snipemount.decisions.leafs.leaf_state import LeafState
 from snipemount.errors import DecodeError
 from snipemount.model.relay import RelayConfirmation
 from snipemount.ports.platform import Kind
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from serving_world import SHARDS, ServingWorld
 
-from snipemount.decisions.shares import share_of
+from snipemount.decisions.fleet.shares import share_of
 
 SECOND_MS = 1000.0
 ROUNDING_ERROR = 1e-9
--- a/tests/steps/submit_steps.py
+++ b/tests/steps/submit_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from small_world import finished_samples
 
-from snipemount.decisions.claims import ClaimRecord, Granted
+from snipemount.decisions.requests.claims import ClaimRecord, Granted
 from snipemount.errors import ResultCode
 from snipemount.experiments.fake_platform import FakePlatform, PlatformFaults
 from snipemount.node.claimer import Claimer
--- a/tests/steps/version_steps.py
+++ b/tests/steps/version_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given as given_any
 from hypothesis import strategies as st
 
-from snipemount.decisions.move_plan import CANARY_SHARE, MoveEvidence, MovePlan
+from snipemount.decisions.moves.move_plan import CANARY_SHARE, MoveEvidence, MovePlan
 from snipemount.model.move import MoveRecord, MoveState
 from snipemount.ports.platform import Kind
 
