Types for organisations, duties and load under pressure

What several parts share: Organisation and CallerIdentity, the outcome Unauthorized, the momentary work ratio of a load report, the settings of duties and process limits, boot-time clock, kinds of our own in the store.

--- a/src/snipemount/model/configuration.py
+++ b/src/snipemount/model/configuration.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from .identity import Organisation
+
 
 @attrs.frozen
 class ToService:
@@ -89,6 +94,8 @@
         Maximum number of leafs that may run one request, counted for each shard.
     priority : int
         Priority of the route's requests; 0 is the most urgent.
+    public : bool
+        Whether callers need no API key.
     """
 
     name: str
@@ -100,6 +107,7 @@
     latency_objective_ms: float
     max_attempts: int
     priority: int
+    public: bool = False
 
 
 @attrs.frozen
@@ -164,12 +172,15 @@
         Services by name.
     limits : CallerLimits
         Limits on callers.
+    organisations : tuple of Organisation or None
+        Organisations whose keys callers need; None if callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceTraits]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 __all__ = [
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from .identity import CallerIdentity, Unchecked
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -30,6 +32,13 @@
     deadline_ms : float or None
         Time that the caller waits, counted from the arrival of the request; None
         when the caller states none.
+    api_key : str
+        Key that the caller sent; empty if it sent none.
+    identity_headers : Headers
+        Headers by which the caller states who it is; they are forwarded only while
+        its identity is `Unchecked`.
+    caller : CallerIdentity
+        Whom the request belongs to.
     """
 
     request_id: str
@@ -39,6 +48,9 @@
     headers: Headers
     body: bytes
     deadline_ms: float | None
+    api_key: str = attrs.field(default="", repr=False)
+    identity_headers: Headers = attrs.field(default=(), repr=False)
+    caller: CallerIdentity = Unchecked()
 
     @property
     def path(self) -> str:
@@ -128,11 +140,15 @@
         Number of requests that waited for a slot.
     slots : int
         Maximum number of requests that it runs at the same time.
+    work_ratio : float or None
+        How long work takes on its VM at this moment, relative to usual; None if the
+        leaf does not state it.
     """
 
     running: int
     waiting: int
     slots: int
+    work_ratio: float | None = None
 
 
 class RefusalReason(Enum):
@@ -143,6 +159,7 @@
     LEAF_LIMITS = "leaf_limits"
     ALL_REFUSED = "all_refused"
     STOPPING = "stopping"
+    OVERLOADED = "overloaded"
 
 
 class FailureReason(Enum):
@@ -208,7 +225,14 @@
     """No route of the configuration in force matches the request."""
 
 
-RequestOutcome = Forwarded | Merged | RequestRefused | RequestFailed | UnknownRoute
+@attrs.frozen
+class Unauthorized:
+    """The request bears no key of an organisation, and its route is not public."""
+
+
+RequestOutcome = (
+    Forwarded | Merged | RequestRefused | RequestFailed | UnknownRoute | Unauthorized
+)
 
 __all__ = [
     "NOT_ARRIVED_REASONS",
@@ -228,5 +252,6 @@
     "RequestFailed",
     "RequestOutcome",
     "RequestRefused",
+    "Unauthorized",
     "UnknownRoute",
 ]
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -20,6 +20,7 @@
     RefusalReason,
     RequestFailed,
     RequestRefused,
+    Unauthorized,
     UnknownRoute,
 )
 from . import headers as names
@@ -236,6 +237,9 @@
             return Response(status=status, headers=headers, text=failure.value)
         case UnknownRoute():
             return Response(status=404)
+        case Unauthorized():
+            headers = CIMultiDict({names.REQUEST_ID: request.request_id})
+            return Response(status=401, headers=headers)
 
 
 def _make_merged_response(request: ForwardRequest, merged: Merged) -> Response:
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -42,6 +42,50 @@
     link_mbps: float
 
 
+@attrs.frozen
+class ProcessLimits:
+    """Limits of the platform on this process.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory above which the process is killed; 0 when the platform states none.
+    max_descriptors : int
+        Descriptors that the process may have open; 0 when the platform states none.
+    """
+
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+
+
+@attrs.frozen
+class DutySettings:
+    """Duties that one daemon at a time performs for the whole deployment.
+
+    Parameters
+    ----------
+    names : frozenset of str
+        Duties that are asked for; none by default.
+    address : Endpoint or None
+        Where they are performed.
+    calls_per_s : float
+        Calls there that all daemons together may make per second; 0 for no limit.
+    lease_ms : float
+        Time in which no second daemon may act.
+    report_window_ms : float
+        Length of a window of the usage report.
+    report_due_ms : float
+        Time after the end of a window until its report is due.
+    """
+
+    names: frozenset[str] = frozenset()
+    address: Endpoint | None = None
+    calls_per_s: float = 0.0
+    lease_ms: float = 3000.0
+    report_window_ms: float = 5000.0
+    report_due_ms: float = 10_000.0
+
+
 @attrs.frozen
 class GuaranteeBounds:
     """Bounds that the operators set for the guarantees.
@@ -115,6 +159,10 @@
         Processor and link of the VM.
     bounds : GuaranteeBounds
         Bounds that the operators set for the guarantees.
+    limits : ProcessLimits
+        Limits of the platform on this process.
+    duties : DutySettings
+        Duties that one daemon at a time performs.
     """
 
     name: str
@@ -129,6 +177,8 @@
     leaf_heartbeat_ms: float
     capacity: VmCapacity
     bounds: GuaranteeBounds
+    limits: ProcessLimits = ProcessLimits()
+    duties: DutySettings = DutySettings()
 
 
 def node_file_path() -> str:
@@ -191,6 +241,25 @@
             configuration_ms=fields.number("bounds.config_apply_ms", 3000.0),
             version_back_ms=fields.number("bounds.rollback_ms", 5000.0),
         ),
+        limits=ProcessLimits(
+            memory_mb=fields.number("limits.memory_mb", 0.0),
+            max_descriptors=int(fields.number("limits.max_fds", 0.0)),
+        ),
+        duties=_duties(fields),
+    )
+
+
+def _duties(fields: _Fields) -> DutySettings:
+    names = fields.names("cloud_api.duties")
+    if not names:
+        return DutySettings()
+    return DutySettings(
+        names=names,
+        address=fields.endpoint("cloud_api.address"),
+        calls_per_s=fields.number("cloud_api.duty_per_s", 0.0),
+        lease_ms=fields.number("bounds.lease_ms", 3000.0),
+        report_window_ms=fields.number("bounds.report_window_s", 5.0) * MS_PER_S,
+        report_due_ms=fields.number("bounds.usage_late_s", 10.0) * MS_PER_S,
     )
 
 
@@ -235,6 +304,11 @@
             raise SettingsError(f"{key}: {port} is beyond the last port {last}")
         return port
 
+    def names(self, key: str) -> frozenset[str]:
+        """Return the names in a list."""
+        listed = (name.strip() for name in self._fields.get(key, "").split(","))
+        return frozenset(name for name in listed if name)
+
     def hosts(self, key: str) -> tuple[str, ...]:
         addresses = self._fields.get(key, "").split(",")
         hosts = (address.strip().rpartition(":")[0] for address in addresses)
@@ -248,9 +322,11 @@
 
 
 __all__ = [
+    "DutySettings",
     "Endpoint",
     "GuaranteeBounds",
     "NodeSettings",
+    "ProcessLimits",
     "VmCapacity",
     "node_file_path",
     "parse_node_file",
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -16,7 +16,8 @@
     """Kinds of objects in the store; each value is the plural name.
 
     `MEMBER` lists the daemons that exchange messages as peers; a `DAEMON` object is
-    the entry under which an entry daemon registers itself.
+    the entry under which an entry daemon registers itself. `DUTY_LEASE` holds who
+    performs each duty, `USAGE_COUNTS` what daemons have counted for organisations.
 
     The last four are written by operators and leafs, and the platform uses names
     of its own for them in its paths.
@@ -30,6 +31,8 @@
     MOVE = "moves"
     EVENT = "events"
     DAEMON = "daemons"
+    DUTY_LEASE = "dutyleases"
+    USAGE_COUNTS = "usagecounts"
     CONFIGURATION = "configuration"
     LEAF = "leafs"
     VERSION_ORDER = "versionorders"
--- a/src/snipemount/serving/request_log.py
+++ b/src/snipemount/serving/request_log.py
@@ -11,6 +11,7 @@
     Merged,
     RequestFailed,
     RequestRefused,
+    Unauthorized,
     UnknownRoute,
 )
 
@@ -187,6 +188,8 @@
             return f"failed:{failure.value}"
         case UnknownRoute():
             return "unknown_route"
+        case Unauthorized():
+            return "unauthorized"
 
 
 __all__ = ["EndedRequest", "RequestLog", "Unanswered", "result_text"]
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -56,6 +56,10 @@
         """Return the stages of a query over all shards; None for other requests."""
         return None
 
+    def began_ms(self) -> float | None:
+        """Return the time of the first attempt; None if no leaf was asked."""
+        return None
+
     def delegations(self) -> str:
         """Return the coordinators that were asked, for the log; empty if none was."""
         return ""
--- a/src/snipemount/timers.py
+++ b/src/snipemount/timers.py
@@ -52,6 +52,10 @@
     def wall_ms(self) -> float:
         """Return the wall-clock time since the epoch in milliseconds."""
 
+    def boot_ms(self) -> float:
+        """Return the monotonic time in milliseconds, suspension of the VM included."""
+        return self.now_ms()
+
     @abstractmethod
     def call_later(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
         """Call `callback` once after `delay_ms` milliseconds."""
@@ -109,6 +113,10 @@
         """Return the system's wall-clock time in milliseconds."""
         return time.time() * MS_PER_S
 
+    def boot_ms(self) -> float:
+        """Return the time since the VM's boot in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     def call_later(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
         """Call `callback` once after `delay_ms` milliseconds."""
         timer = Timer(callback)
@@ -131,6 +139,8 @@
         self._now_ms = 0.0
         self._sequence_numbers = count()
         self._heap: list[tuple[float, int, Timer]] = []
+        self._suspended_ms = 0.0
+        self._wall_step_ms = 0.0
 
     def now_ms(self) -> float:
         """Return the virtual time in milliseconds."""
@@ -138,7 +148,11 @@
 
     def wall_ms(self) -> float:
         """Return the virtual time in milliseconds; it starts at the epoch."""
-        return self._now_ms
+        return self._now_ms + self._suspended_ms + self._wall_step_ms
+
+    def boot_ms(self) -> float:
+        """Return the virtual time in milliseconds, with that of suspensions."""
+        return self._now_ms + self._suspended_ms
 
     def call_later(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
         """Call `callback` once `delay_ms` virtual milliseconds from now."""
@@ -155,6 +169,14 @@
             timer.fire()
         self._now_ms = max(self._now_ms, until_ms)
 
+    def suspend(self, span_ms: float) -> None:
+        """Pass `span_ms` as while a VM is suspended: only its steady clock stops."""
+        self._suspended_ms += span_ms
+
+    def step_wall(self, step_ms: float) -> None:
+        """Move the time of day by `step_ms`, as a clock that is set does."""
+        self._wall_step_ms += step_ms
+
     def advance_blocked(self, span_ms: float) -> None:
         """Advance the time by `span_ms` without firing, as a blocked event loop does.
 
