Organisations: keys, identity of callers, what leafs are told

Cause: leafs got requests without their organisation's name, and callers' keys were forwarded to leafs and coordinators. Change: the daemon that a caller reached identifies it by a keyed digest of its API key; 401 without one. Leafs get the organisation's name, never the key or the caller's own name. Coordinators trust the identity in a query. Malformed requests are no longer logged: the parser's message quoted the line, which may hold a key (seen with five forms of malformed header).

--- a/src/snipemount/adapters/delegation_codec.py
+++ b/src/snipemount/adapters/delegation_codec.py
@@ -8,6 +8,7 @@
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..finite import finite_number
+from ..identity.organisation_name import is_organisation_name
 from ..model.delegation import (
     ConfigurationAnnounced,
     ConfigurationOffered,
@@ -34,6 +35,7 @@
     RequestOutcome,
     RequestRefused,
 )
+from ..model.identity import Anonymous, CallerIdentity, OfOrganisation, Unchecked
 from ..ports.platform import Kind
 from .relay_codec import decode_object, encode_object
 
@@ -146,6 +148,7 @@
 
 def _encode_query(query: DelegatedQuery) -> list[Any]:
     request = query.request
+    headers = request.forwarded_headers
     return [
         query.query_id,
         query.sender,
@@ -157,15 +160,16 @@
         request.method,
         _to_bytes(request.target),
         _to_bytes(request.host),
-        [[_to_bytes(name), _to_bytes(value)] for name, value in request.headers],
+        [[_to_bytes(name), _to_bytes(value)] for name, value in headers],
         request.body,
         request.deadline_ms,
+        *_encode_caller(request.caller),
     ]
 
 
 def _decode_query(fields: list[Any]) -> DelegatedQuery:
     query_id, sender, version, answer_within_ms, time_left_ms, attempts = fields[:6]
-    request_id, method, target, host, headers, body, deadline_ms = fields[6:]
+    request_id, method, target, host, headers, body, deadline_ms = fields[6:13]
     if not isinstance(body, bytes):
         raise TypeError("the request's body is not a byte string")
     request = ForwardRequest(
@@ -176,6 +180,7 @@
         headers=tuple((_to_text(name), _to_text(value)) for name, value in headers),
         body=body,
         deadline_ms=None if deadline_ms is None else finite_number(deadline_ms),
+        caller=_decode_caller(fields[13:]),
     )
     return DelegatedQuery(
         _integer(query_id),
@@ -188,6 +193,34 @@
     )
 
 
+def _encode_caller(caller: CallerIdentity) -> list[Any]:
+    """Return the last fields of a query: none for a caller that was not checked.
+
+    Builds without organisations decode queries without such a field only, and write
+    none themselves.
+    """
+    match caller:
+        case Unchecked():
+            return []
+        case Anonymous():
+            return [[]]
+        case OfOrganisation(name, priority):
+            return [[name, priority]]
+
+
+def _decode_caller(fields: list[Any]) -> CallerIdentity:
+    match fields:
+        case []:
+            return Unchecked()
+        case [[]]:
+            return Anonymous()
+        case [[str(name), priority]] if is_organisation_name(name):
+            return OfOrganisation(
+                name, None if priority is None else _integer(priority)
+            )
+    raise ValueError("the caller's identity is malformed")
+
+
 def _encode_outcome(outcome: RequestOutcome) -> list[Any]:
     match outcome:
         case Merged(receipts, missing, body):
@@ -227,7 +260,7 @@
 
 def _integer(value: Any) -> int:
     if not isinstance(value, int):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError(f"a value of type {type(value).__name__} is not an integer")
     return value
 
 
@@ -245,7 +278,8 @@
 
 def _to_text(data: Any) -> str:
     if not isinstance(data, bytes):
-        raise TypeError(f"{data!r} is not a byte string")
+        # Not the value: it may be a header with a key.
+        raise TypeError(f"a value of type {type(data).__name__} is not a byte string")
     return data.decode("utf-8", "surrogateescape")
 
 
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -9,6 +9,8 @@
 from .identity import CallerIdentity, Unchecked
 
 Headers = tuple[tuple[str, str], ...]
+# Position among all headers, name and value.
+PlacedHeaders = tuple[tuple[int, str, str], ...]
 
 
 @attrs.frozen(eq=False)
@@ -26,7 +28,7 @@
     host : str
         Value of the Host header.
     headers : Headers
-        End-to-end headers, which are forwarded.
+        End-to-end headers, which are forwarded, without `identity_headers`.
     body : bytes
         Complete body.
     deadline_ms : float or None
@@ -34,9 +36,9 @@
         when the caller states none.
     api_key : str
         Key that the caller sent; empty if it sent none.
-    identity_headers : Headers
+    identity_headers : PlacedHeaders
         Headers by which the caller states who it is; they are forwarded only while
-        its identity is `Unchecked`.
+        its identity is `Unchecked`, each at its position among all headers.
     caller : CallerIdentity
         Whom the request belongs to.
     """
@@ -49,7 +51,7 @@
     body: bytes
     deadline_ms: float | None
     api_key: str = attrs.field(default="", repr=False)
-    identity_headers: Headers = attrs.field(default=(), repr=False)
+    identity_headers: PlacedHeaders = attrs.field(default=(), repr=False)
     caller: CallerIdentity = Unchecked()
 
     @property
@@ -57,6 +59,26 @@
         """Request target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def forwarded_headers(self) -> Headers:
+        """Headers of the caller that a leaf gets, in the caller's order."""
+        if not self.identity_headers or not isinstance(self.caller, Unchecked):
+            return self.headers
+        headers = list(self.headers)
+        for position, name, value in self.identity_headers:
+            headers.insert(position, (name, value))
+        return tuple(headers)
+
+    def identified(self, caller: CallerIdentity) -> ForwardRequest:
+        """Return the request with its caller's identity.
+
+        Unless this is `Unchecked`, the result lacks the key and what else the caller
+        stated about itself.
+        """
+        if isinstance(caller, Unchecked):
+            return self
+        return attrs.evolve(self, caller=caller, api_key="", identity_headers=())
+
 
 @attrs.frozen
 class LeafAnswer:
@@ -248,6 +270,7 @@
     "NoValidResponseReason",
     "NotRun",
     "NotRunReason",
+    "PlacedHeaders",
     "RefusalReason",
     "RequestFailed",
     "RequestOutcome",
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -24,6 +24,7 @@
     UnknownRoute,
 )
 from . import headers as names
+from .caller_logger import CALLER_LOGGER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,6 +97,7 @@
             max_line_size=limits.max_header_bytes,
             auto_decompress=False,
             access_log=DISABLED_LOGGER,
+            logger=CALLER_LOGGER,
         )
 
     async def wait_until_idle(self, timers: LoopTimers, end_ms: float) -> bool:
@@ -197,16 +199,19 @@
     if not request_id:
         return None
     connection = request.headers.get("Connection", "")
+    headers, identity_headers = names.split_identity(
+        names.end_to_end(request.headers.items(), connection, names.SET_BY_DAEMON)
+    )
     return ForwardRequest(
         request_id=request_id,
         method=request.method,
         target=request.raw_path,
         host=request.headers.get("Host", ""),
-        headers=names.end_to_end(
-            request.headers.items(), connection, names.SET_BY_DAEMON
-        ),
+        headers=headers,
         body=body,
         deadline_ms=_parse_deadline_ms(request.headers.get(names.DEADLINE_MS, "")),
+        api_key=names.parse_api_key(request.headers.getall(names.AUTHORIZATION, ())),
+        identity_headers=identity_headers,
     )
 
 
@@ -239,6 +244,7 @@
             return Response(status=404)
         case Unauthorized():
             headers = CIMultiDict({names.REQUEST_ID: request.request_id})
+            headers[names.AUTHENTICATE] = names.KEY_SCHEME
             return Response(status=401, headers=headers)
 
 
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -18,6 +18,7 @@
     WeightedService,
 )
 from ..model.leaf import Leaf, VersionOrder
+from .organisation_documents import decode_organisations
 
 if TYPE_CHECKING:
     from ..model.configuration import Target
@@ -37,7 +38,7 @@
     Raises
     ------
     DecodeError
-        When a field is missing or has another type.
+        When a field is missing or has another type, or an organisation is malformed.
     """
     spec = stored.spec
     try:
@@ -46,6 +47,7 @@
             routes=tuple(_route(item) for item in spec["routes"]),
             services={s["name"]: _service(s) for s in spec.get("backends") or ()},
             limits=_limits(spec.get("limits") or {}),
+            organisations=decode_organisations(spec.get("tenants")),
         )
     except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
@@ -63,9 +65,20 @@
         latency_objective_ms=finite_number(item.get("target_latency_ms") or timeout_ms),
         max_attempts=max(1, _count(item.get("max_attempts") or 1)),
         priority=_count(item.get("priority") or 0),
+        public=_public(item),
     )
 
 
+def _public(item: dict[str, Any]) -> bool:
+    value = item.get("public")
+    if value is not None and not isinstance(value, bool):
+        # Any other value must not open a route to callers without a key.
+        raise TypeError(
+            f"public of route {item['name']!r}: {value!r:.60} is not a boolean"
+        )
+    return bool(value)
+
+
 def _target(item: dict[str, Any]) -> Target:
     if item.get("gather"):
         shards = tuple(item["gather"])
--- a/src/snipemount/platform/headers.py
+++ b/src/snipemount/platform/headers.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
-    from ..model.forwarding import Headers
+    from ..model.forwarding import Headers, PlacedHeaders
 
 REQUEST_ID = "X-Request-Id"
 DEADLINE_MS = "X-Deadline-Ms"
@@ -20,6 +20,10 @@
 RETRY_AFTER = "Retry-After"
 LEAF_LIMIT = "Server-Limit"
 LEAF_LEAVING = "Server-Leaving"
+AUTHORIZATION = "Authorization"
+ORGANISATION = "X-Tenant"
+AUTHENTICATE = "WWW-Authenticate"
+KEY_SCHEME = "Token"
 
 # Headers that apply to one connection or are written anew for each message.
 HOP_BY_HOP = frozenset(
@@ -39,6 +43,8 @@
 )
 # Request headers that the daemon writes itself, in place of the caller's.
 SET_BY_DAEMON = frozenset({"x-deadline-ms", "x-expect-instance"})
+# Request headers by which a caller states who it is.
+IDENTITY = frozenset({"authorization", "x-tenant"})
 
 
 def end_to_end(
@@ -61,19 +67,51 @@
     return tuple([pair for pair in pairs if pair[0].lower() not in dropped])
 
 
+def split_identity(headers: Headers) -> tuple[Headers, PlacedHeaders]:
+    """Return the headers without those of the caller's identity, and these."""
+    placed = tuple(
+        [
+            (position, name, value)
+            for position, (name, value) in enumerate(headers)
+            if name.lower() in IDENTITY
+        ]
+    )
+    if not placed:
+        return headers, ()
+    return tuple(pair for pair in headers if pair[0].lower() not in IDENTITY), placed
+
+
+def parse_api_key(values: Sequence[str]) -> str:
+    """Return the key in the values of Authorization headers.
+
+    It is empty for another scheme, and for several headers: which of them counts would
+    depend on the reader.
+    """
+    if len(values) != 1:
+        return ""
+    scheme, _, api_key = values[0].strip().partition(" ")
+    return api_key.strip() if scheme.lower() == KEY_SCHEME.lower() else ""
+
+
 __all__ = [
+    "AUTHENTICATE",
+    "AUTHORIZATION",
     "DEADLINE_MS",
     "EXPECTED_LEAF",
     "HOP_BY_HOP",
+    "KEY_SCHEME",
     "LEAF_LEAVING",
     "LEAF_LIMIT",
     "LOAD",
     "MISSING_SHARDS",
     "NOT_RUN",
+    "ORGANISATION",
     "RECEIPT",
     "RECEIPTS",
     "REQUEST_ID",
     "RETRY_AFTER",
     "SET_BY_DAEMON",
     "end_to_end",
+    "parse_api_key",
+    "split_identity",
 ]
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -18,6 +18,7 @@
     NoValidResponse,
     NoValidResponseReason,
 )
+from ..model.identity import OfOrganisation
 from ..ports.leaf import AttemptReport
 from . import headers as names
 from .leaf_notices import parse_notice
@@ -301,7 +302,9 @@
 def _common_head(request: ForwardRequest) -> bytes:
     """Return the part of the head that is the same for all leafs."""
     lines = [f"{request.method} {request.target} HTTP/1.1"]
-    lines += (f"{name}: {value}" for name, value in request.headers)
+    lines += (f"{name}: {value}" for name, value in request.forwarded_headers)
+    if isinstance(request.caller, OfOrganisation):
+        lines.append(f"{names.ORGANISATION}: {request.caller.name}")
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(f"Content-Length: {len(request.body)}")
     head = "\r\n".join(lines) + "\r\n"
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -63,8 +63,9 @@
     kind: Kind
     name: str
     version: int
-    spec: dict[str, Any]
-    status: dict[str, Any] | None = None
+    # Not in texts: a configuration holds API keys.
+    spec: dict[str, Any] = attrs.field(repr=False)
+    status: dict[str, Any] | None = attrs.field(default=None, repr=False)
     created_version: int = 0
 
 
--- a/src/snipemount/serving/delegated_queries.py
+++ b/src/snipemount/serving/delegated_queries.py
@@ -140,7 +140,7 @@
     def _reason_to_decline(self, query: DelegatedQuery) -> DeclineReason | None:
         if self.stopping:
             return DeclineReason.STOPPING
-        if not self._gateway.has_routes_of(query.version):
+        if not self._gateway.may_run(query):
             return DeclineReason.OTHER_CONFIGURATION
         if self._context.running_legs > self.max_running_legs:
             return DeclineReason.BUSY
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -8,6 +8,7 @@
 from ..decisions.query.answer_timing import LAG_FACTOR, RouteTiming
 from ..decisions.requests.route_table import RouteTable
 from ..decisions.requests.weighted_round_robin import WeightedRoundRobin
+from ..identity.authenticator import Authenticator
 from ..model.configuration import (
     CallerLimits,
     ToAllShards,
@@ -19,8 +20,10 @@
     RefusalReason,
     RequestFailed,
     RequestRefused,
+    Unauthorized,
     UnknownRoute,
 )
+from ..model.identity import Unchecked
 from .context import RETRY_AFTER_MS
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
@@ -79,6 +82,7 @@
         self._context = context
         self.coordinators = coordinators
         self._log = log
+        self._authenticator = Authenticator()
         self._routes: RouteTable | None = None
         self._previous_routes: RouteTable | None = None
         self._previous_version = 0
@@ -131,6 +135,7 @@
         """
         if configuration.version <= self.version:
             return False
+        self._authenticator.put_in_force(configuration.organisations)
         self._previous_version, self._previous_routes = self.version, self._routes
         self._replaced_ms = self._context.timers.now_ms()
         self.configuration = configuration
@@ -162,6 +167,10 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._end_immediately(request, UnknownRoute(), done)
+        caller = self._authenticator.identify(route, request.api_key)
+        if isinstance(caller, Unauthorized):
+            return self._end_immediately(request, caller, done, route)
+        request = request.identified(caller)
         started_ms = self._context.timers.now_ms()
         self.last_request_ms = started_ms
         end_ms = started_ms + self._time_left_ms(route, request)
@@ -172,9 +181,16 @@
             lambda on_ended: self._make_run(route, request, end_ms, on_ended),
         )
 
-    def has_routes_of(self, version: int) -> bool:
-        """Return whether a delegated query of a configuration's version may run."""
-        return self._routes_of(version) is not None
+    def may_run(self, query: DelegatedQuery) -> bool:
+        """Return whether a delegated query fits the configuration in force.
+
+        The identity of its caller is never checked again, but a query whose caller was
+        not identified at all does not run where callers need keys.
+        """
+        unchecked = isinstance(query.request.caller, Unchecked)
+        if unchecked and self._authenticator.requires_keys:
+            return False
+        return self._routes_of(query.version) is not None
 
     def _routes_of(self, version: int) -> RouteTable | None:
         if version == self.version:
@@ -240,9 +256,10 @@
         request: ForwardRequest,
         outcome: RequestOutcome,
         done: Callable[[RequestOutcome], None],
+        route: Route | None = None,
     ) -> Run:
         now_ms = self._context.timers.now_ms()
-        self._log.record(EndedRequest(request, None, self.version, outcome), now_ms)
+        self._log.record(EndedRequest(request, route, self.version, outcome), now_ms)
         done(outcome)
         return EndedRun()
 
