--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -73,9 +73,8 @@
     value = item.get("public")
     if value is not None and not isinstance(value, bool):
         # Any other value must not open a route to callers without a key.
-        raise TypeError(
-            f"public of route {item['name']!r}: {value!r:.60} is not a boolean"
-        )
+        shown = f"{value!r:.60} of route {item['name']!r}"
+        raise TypeError(f"public: {shown} is not a boolean")
     return bool(value)
 
 
--- a/tests/steps/boundary_steps.py
+++ b/tests/steps/boundary_steps.py
@@ -24,6 +24,8 @@
     "X-Server-Load",
     "X-Part-Stamps",
     "X-Missing-Parts",
+    "X-Tenant",
+    "tenants",
     "path_prefix",
     "weighted_backends",
     "target_latency_ms",
--- a/tests/steps/delegation_codec_steps.py
+++ b/tests/steps/delegation_codec_steps.py
@@ -33,6 +33,7 @@
     RequestFailed,
     RequestRefused,
 )
+from snipemount.model.identity import Anonymous, OfOrganisation, Unchecked
 from snipemount.ports.platform import Kind, StoredObject
 
 IDS = st.integers(0, 2**31)
@@ -51,6 +52,11 @@
     st.lists(st.tuples(HEADER_TEXTS, HEADER_TEXTS), max_size=3).map(tuple),
     st.binary(max_size=50),
     st.none() | TIMES_MS,
+    caller=st.one_of(
+        st.just(Unchecked()),
+        st.just(Anonymous()),
+        st.builds(OfOrganisation, st.just("acme"), st.none() | st.integers(0, 9)),
+    ),
 )
 OUTCOMES = st.one_of(
     st.builds(
