--- a/src/snipemount/serving/store_subscribers.py
+++ b/src/snipemount/serving/store_subscribers.py
@@ -64,6 +64,7 @@
                 version=configuration.version,
                 before=before,
                 routes=len(configuration.routes),
+                **_organisation_fields(configuration),
             )
             self.in_force = stored
             self.on_in_force()
@@ -82,6 +83,11 @@
         )
 
 
+def _organisation_fields(configuration: Configuration) -> dict[str, int]:
+    organisations = configuration.organisations
+    return {} if organisations is None else {"organisations": len(organisations)}
+
+
 @attrs.define(eq=False)
 class LeafSubscriber:
     """Keeps the directory of leafs up to date.
--- a/tests/steps/organisation_steps.py
+++ b/tests/steps/organisation_steps.py
@@ -56,6 +56,7 @@
     context.closers = [
         *getattr(context, "closers", []),
         context.loop.close,
+        lambda: context.loop.run_until_complete(close_connection(context)),
         lambda: CALLER_LOGGER.removeHandler(context.log),
     ]
 
@@ -70,6 +71,12 @@
     context.loop.run_until_complete(open_connection())
 
 
+async def close_connection(context):
+    """End the connection and its task."""
+    context.protocol.connection_lost(None)
+    await context.timers.sleep(1.0)
+
+
 @given("a caller interface over leafs that record what they receive")
 def step_interface_leafs(context):
     step_interface(context)
