--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -1,7 +1,13 @@
-"""CBOR codec for the messages of the relay between daemons."""
+"""Codec for the messages of the relay between daemons.
+
+Messages are CBOR in binary frames. Those of follower to relay that earlier builds don't
+know are JSON in text frames, which such a build ignores; a binary frame that it cannot
+decode would make it disconnect the follower.
+"""
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import cbor2
@@ -17,9 +23,12 @@
     RelayMessage,
     RelayRemoval,
     RelayStoreLost,
+    RelayUsage,
     SlowLeaf,
 )
+from ..model.usage import checked_count, checked_name, checked_window
 from ..ports.platform import Kind, StoredObject
+from .strict_json import loads
 
 LISTING = 0
 CHANGE = 1
@@ -29,6 +38,9 @@
 HEARTBEAT = 5
 EVIDENCE = 6
 BATCH = 7
+USAGE = 8
+MAX_USAGE_COUNTS = 2000  # organisations in a message
+TEXT_DEPTH = 3
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -41,6 +53,25 @@
     return cbor2.dumps([BATCH, frames])
 
 
+def encode_relay_text(message: RelayMessage) -> str:
+    """Encode a message as a text frame."""
+    return json.dumps(_encode_message(message), separators=(",", ":"))
+
+
+def decode_relay_text(frame: str) -> RelayMessage:
+    """Decode the message in a text frame.
+
+    Raises
+    ------
+    DecodeError
+        When the frame is not JSON or not a message of the relay.
+    """
+    try:
+        return _decode_message(loads(frame.encode(), TEXT_DEPTH))
+    except MALFORMED_INPUT_ERRORS as error:
+        raise DecodeError(f"relay: {error!r}") from error
+
+
 def decode_batch(frame: bytes) -> list[RelayMessage]:
     """Decode the messages in a frame of one or several.
 
@@ -75,6 +106,8 @@
             return [HEARTBEAT]
         case RelayEvidence(leafs):
             return [EVIDENCE, [[leaf.leaf_id, leaf.slowness] for leaf in leafs]]
+        case RelayUsage(daemon, run, window, closed, counts):
+            return [USAGE, daemon, run, window, closed, [list(c) for c in counts]]
 
 
 def decode_relay(frame: bytes) -> RelayMessage:
@@ -116,9 +149,27 @@
             return RelayEvidence(
                 tuple(SlowLeaf(str(leaf_id), finite_number(x)) for leaf_id, x in leafs)
             )
+        case [8, daemon, run, window, closed, counts]:
+            return _decode_usage(daemon, run, window, closed, counts)
     raise ValueError("unknown message type or wrong number of fields")
 
 
+def _decode_usage(
+    daemon: Any, run: Any, window: Any, closed: Any, counts: Any
+) -> RelayUsage:
+    if not isinstance(closed, bool):
+        raise TypeError(f"closed: {closed!r} is not a boolean")
+    if len(counts) > MAX_USAGE_COUNTS:
+        raise ValueError(f"{len(counts)} counts are more than {MAX_USAGE_COUNTS}")
+    return RelayUsage(
+        checked_name(daemon),
+        checked_name(run),
+        checked_window(window),
+        closed,
+        tuple((checked_name(name), checked_count(number)) for name, number in counts),
+    )
+
+
 def _age_ms(value: Any) -> float:
     age_ms = finite_number(value)
     if age_ms < 0.0:
@@ -155,7 +206,9 @@
     "decode_batch",
     "decode_object",
     "decode_relay",
+    "decode_relay_text",
     "encode_batch",
     "encode_object",
     "encode_relay",
+    "encode_relay_text",
 ]
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -10,14 +10,21 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from ..errors import DecodeError
-from ..model.relay import RelayListing, RelayStoreLost
+from ..model.relay import RelayListing, RelayStoreLost, RelayUsage
 from ..ports.relay import RelayPort
 from .daemon_websockets import (
     close_at_once,
     connect_to_daemon,
     listen_for_daemons,
 )
-from .relay_codec import decode_batch, decode_relay, encode_batch, encode_relay
+from .relay_codec import (
+    decode_batch,
+    decode_relay,
+    decode_relay_text,
+    encode_batch,
+    encode_relay,
+    encode_relay_text,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -141,8 +148,13 @@
 
     def report(self, message: RelayMessage) -> None:
         """Send a message to the daemon that is followed, if any."""
-        if self._followed_connection is not None:
-            broadcast([self._followed_connection], encode_relay(message))
+        if self._followed_connection is None:
+            return
+        if isinstance(message, RelayUsage):
+            frame: bytes | str = encode_relay_text(message)
+        else:
+            frame = encode_relay(message)
+        broadcast([self._followed_connection], frame)
 
     async def close(self) -> None:
         """Stop following and close the listener and the followers' connections."""
@@ -173,6 +185,8 @@
             async for frame in connection:
                 if isinstance(frame, bytes):
                     self._on_report(decode_relay(frame))
+                else:
+                    self._on_text(frame)
         except ConnectionClosed:
             return
         except DecodeError as error:
@@ -180,6 +194,18 @@
         finally:
             followers.discard(connection)
 
+    def _on_text(self, frame: str) -> None:
+        """Pass on a message in a text frame; one that cannot be read is dropped.
+
+        The follower stays: a later build may send what this one does not know.
+        """
+        try:
+            message = decode_relay_text(frame)
+        except DecodeError as error:
+            self._logger.warning("relay_text_dropped", reason=error.detail[:200])
+            return
+        self._on_report(message)
+
     def _followers_like(self, connection: ServerConnection) -> set[ServerConnection]:
         request = connection.request
         reads_batches = request is not None and request.path == BATCHES_PATH
--- a/src/snipemount/model/relay.py
+++ b/src/snipemount/model/relay.py
@@ -88,6 +88,32 @@
     leafs: tuple[SlowLeaf, ...]
 
 
+@attrs.frozen
+class RelayUsage:
+    """What one process has counted in one window of the usage report, so far.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of the daemon.
+    run : str
+        Random id of its process.
+    window : int
+        Number of the window.
+    closed : bool
+        Whether the counts are final.
+    counts : tuple of (str, int)
+        Organisations and the number of their requests. The counts only grow, so
+        messages may be repeated and reordered.
+    """
+
+    daemon: str
+    run: str
+    window: int
+    closed: bool
+    counts: tuple[tuple[str, int], ...]
+
+
 RelayMessage = (
     RelayListing
     | RelayChange
@@ -96,6 +122,7 @@
     | RelayStoreLost
     | RelayHeartbeat
     | RelayEvidence
+    | RelayUsage
 )
 
 __all__ = [
@@ -107,5 +134,6 @@
     "RelayMessage",
     "RelayRemoval",
     "RelayStoreLost",
+    "RelayUsage",
     "SlowLeaf",
 ]
--- a/src/snipemount/serving/attempt_records.py
+++ b/src/snipemount/serving/attempt_records.py
@@ -49,12 +49,20 @@
         Number of attempts that opened a connection.
     connect_ms : float
         Longest time that an attempt waited for its connection.
+    began_ms : float or None
+        Monotonic time of the first attempt; None before it.
     """
 
     ended: list[EndedAttempt] = attrs.field(factory=list)
     bytes_read: int = 0
     connections_opened: int = 0
     connect_ms: float = 0.0
+    began_ms: float | None = None
+
+    def note_sent(self, now_ms: float) -> None:
+        """Record the time of the first attempt."""
+        if self.began_ms is None:
+            self.began_ms = now_ms
 
     def add(
         self, attempt: PendingAttempt, report: AttemptReport, now_ms: float
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -107,6 +107,8 @@
         # Those after the first that the present coordinator has been granted.
         self._further_attempts: Counter[int] = Counter()
         self._own_run: Run | None = None
+        # First delegation of which a leaf may have run the query.
+        self._delegated_ms: float | None = None
 
     def start(self) -> None:
         """Give the query to the first coordinator."""
@@ -136,6 +138,15 @@
         """Return each coordinator that was asked, with the result."""
         return ",".join(f"{name}:{result}" for name, result in self._asked.items())
 
+    def began_ms(self) -> float | None:
+        """Return when the query was first given to a coordinator that may have run it.
+
+        That of its own run if no coordinator may have.
+        """
+        if self._delegated_ms is not None or self._own_run is None:
+            return self._delegated_ms
+        return self._own_run.began_ms()
+
     def on_accepted(self) -> None:
         """Wait for the outcome."""
         self._heard_ms = self._context.timers.now_ms()
@@ -154,6 +165,7 @@
 
     def on_declined(self, reason: DeclineReason) -> None:
         """Ask another coordinator; this one has not run the query."""
+        self._note_not_run()
         self._end_delegation(reason.value)
         self._ask_next()
 
@@ -169,6 +181,7 @@
         self._links.hop.add(max(0.0, elapsed_ms - ran_ms))
         if isinstance(outcome, RequestRefused):
             self._refusals.append(outcome)
+            self._note_not_run()
             if self._link is not None:
                 self._zones_without_leafs.add(self._link.daemon.zone)
             self._end_delegation(outcome.reason.value)
@@ -186,6 +199,11 @@
         for position in range(len(self._earlier_attempts)):
             self._earlier_attempts[position] += 1 + self._further_attempts[position]
 
+    def _note_not_run(self) -> None:
+        """Record that no leaf was asked by the present coordinator."""
+        if not self._may_have_run:
+            self._delegated_ms = None
+
     def _attempts_left(self, position: int) -> bool:
         """Return whether the present coordinator may make a further attempt."""
         if position >= len(self._earlier_attempts):
@@ -228,6 +246,8 @@
         self._further_attempts.clear()
         self._link, self._query_id = link, query_id
         self._sent_ms, self._heard_ms = now_ms, None
+        if self._delegated_ms is None:
+            self._delegated_ms = now_ms
         self._record("sent")
         answer_within_ms = self._answer_within_ms(now_ms)
         query = DelegatedQuery(
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -21,7 +21,9 @@
     RequestRefused,
     UnknownRoute,
 )
+from ..model.identity import OfOrganisation
 from .context import RETRY_AFTER_MS
+from .counted_run import CountedRun
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
 from .request_log import EndedRequest
@@ -36,6 +38,7 @@
     from ..model.forwarding import ForwardRequest, RequestOutcome
     from .context import ServingContext
     from .coordinator_links import CoordinatorLinks
+    from .counted_run import RequestCounter
     from .request_log import RequestLog
     from .run import Run
 
@@ -68,6 +71,8 @@
         Monotonic time of the last request that had a route; -inf before the first.
     shards : frozenset of str
         Services that configured queries ask as shards.
+    request_counter : RequestCounter or None
+        Counts the requests of organisations; None if they are not counted.
     """
 
     def __init__(
@@ -87,6 +92,7 @@
         self.configuration: Configuration | None = None
         self.last_request_ms = -math.inf
         self.shards: frozenset[str] = frozenset()
+        self.request_counter: RequestCounter | None = None
 
     @property
     def limits(self) -> CallerLimits:
@@ -165,12 +171,22 @@
         started_ms = self._context.timers.now_ms()
         self.last_request_ms = started_ms
         end_ms = started_ms + self._time_left_ms(route, request)
-        return self._start(
-            route,
-            request,
-            done,
-            lambda on_ended: self._make_run(route, request, end_ms, on_ended),
+
+        def start(done: Callable[[RequestOutcome], None]) -> Run:
+            return self._start(
+                route,
+                request,
+                done,
+                lambda on_ended: self._make_run(route, request, end_ms, on_ended),
+            )
+
+        caller = request.caller
+        if self.request_counter is None or not isinstance(caller, OfOrganisation):
+            return start(done)
+        counted = CountedRun(
+            self.request_counter, caller.name, self._context.timers, done
         )
+        return counted.follow(start(counted.finish))
 
     def has_routes_of(self, version: int) -> bool:
         """Return whether a delegated query of a configuration's version may run."""
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -155,6 +155,14 @@
             loop_lag_ms=self._context.lag.value_ms,
         )
 
+    def began_ms(self) -> float | None:
+        """Return the time of the first attempt; None if no leaf has run it."""
+        for call in self._calls:
+            # Those of another daemon count there, so a call may have made none.
+            if call.records.began_ms is not None and call.may_have_run:
+                return call.records.began_ms
+        return None
+
     def _check_late_calls(self) -> None:
         if self._ended:
             return
--- a/src/snipemount/serving/relay_following.py
+++ b/src/snipemount/serving/relay_following.py
@@ -108,6 +108,11 @@
         """The daemons of the zone that come before this one."""
         return relay_candidates(self._daemons, self._own)
 
+    @property
+    def followed_since_ms(self) -> float | None:
+        """Monotonic time since which a daemon is followed; None if none is."""
+        return None if self.followed is None else self._followed_since_ms
+
     @property
     def has_unlisted_kind(self) -> bool:
         """Whether nothing is known yet of some kind."""
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -57,7 +57,11 @@
         return None
 
     def began_ms(self) -> float | None:
-        """Return the time of the first attempt; None if no leaf was asked."""
+        """Return the monotonic time of the first attempt.
+
+        None while it is certain that no leaf has run the request. Not known any more
+        once the run has ended or was cancelled.
+        """
         return None
 
     def delegations(self) -> str:
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -258,6 +258,7 @@
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
         self._pending.append(attempt)
+        self.records.note_sent(now_ms)
         if state.limit is not None:
             self._context.metrics.limited_attempt(len(self._tried_leafs) > 1)
         attempt.handle = self._context.leafs.send(
--- a/src/snipemount/serving/single_run.py
+++ b/src/snipemount/serving/single_run.py
@@ -69,6 +69,11 @@
             return []
         return [Unanswered(call.service, call.describe_attempts())]
 
+    def began_ms(self) -> float | None:
+        """Return the time of the first attempt; None if no leaf has run it."""
+        call = self._call
+        return call.records.began_ms if call.may_have_run else None
+
     def _hedge(self) -> None:
         self._call.hedge()
 
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -16,6 +16,7 @@
     RelayEvidence,
     RelayHeartbeat,
     RelayStoreLost,
+    RelayUsage,
 )
 from ..ports.platform import Failed, Kind, Listed
 from .configuration_exchange import ConfigurationExchange
@@ -87,6 +88,8 @@
     ----------
     exchange : ConfigurationExchange
         Hands configurations on to other daemons and gets newer ones from them.
+    on_usage : Callable or None
+        Called with the counts that followers report; None to ignore them.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         age_limits: dict[Kind, StateAgeLimits],
     ) -> None:
         self._on_daemons = on_daemons
+        self.on_usage: Callable[[RelayUsage], None] | None = None
         self._registration = Registration(platform, own, context.timers, logger)
         self._seeds = seeds
         self._platform = platform
@@ -184,6 +188,16 @@
         """The daemon that relays the store to this one; None if there is none."""
         return self._following.followed
 
+    @property
+    def followed_since_ms(self) -> float | None:
+        """Monotonic time since which a daemon is followed; None if none is."""
+        return self._following.followed_since_ms
+
+    @property
+    def follows_store(self) -> bool:
+        """Whether this daemon follows the store itself and has its state."""
+        return self.followed is None and not self._following.has_unlisted_kind
+
     def state_age_ms(self, kind: Kind) -> float:
         """Return the time since the known state of a kind was current for certain."""
         return self._kinds[kind].age_ms
@@ -208,10 +222,13 @@
         return messages + lost
 
     def on_follower_message(self, message: RelayMessage) -> None:
-        """Apply evidence from a follower, and forward it with this daemon's own."""
-        if isinstance(message, RelayEvidence):
-            self._evidence.add_reported(message.leafs)
-            self._evidence.forward(message.leafs)
+        """Apply what a follower reports; evidence is forwarded with this daemon's own."""
+        match message:
+            case RelayEvidence(leafs):
+                self._evidence.add_reported(leafs)
+                self._evidence.forward(leafs)
+            case RelayUsage() if self.on_usage is not None:
+                self.on_usage(message)
 
     def _apply_offered(self, stored: StoredObject) -> None:
         """Apply a configuration from another daemon, and relay it to followers."""
