--- /dev/null
+++ b/src/snipemount/duties/election.py
@@ -0,0 +1,374 @@
+"""Decides when this daemon acquires, renews and gives up the lease of a duty."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..ports.platform import Found, Missing, Written
+from .events import (
+    EndSave,
+    NotifyAcquired,
+    NotifyLost,
+    ReadEnded,
+    ReportStoodBack,
+    ReportUnreadable,
+    SaveRequested,
+    SendRead,
+    SendWrite,
+    StandBackRequested,
+    StopRequested,
+    Woken,
+    WriteEnded,
+)
+from .observation import Observation
+from .record import LeaseRecord, read_record
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..ports.platform import ReadResult, StoredObject, WriteResult
+    from .events import Action, Event, Save
+
+RENEWALS_PER_LEASE = 3
+READ_JITTER_RATIO = 0.2
+STAND_BACK_LEASES = 2
+MIN_BACKOFF_MS = 200.0  # upper bound of the jitter after the first failed call
+MAX_BACKOFF_DOUBLINGS = 10
+
+
+class LeaseState(Enum):
+    """What this daemon is to the lease."""
+
+    CANDIDATE = "candidate"
+    ACQUIRING = "acquiring"
+    HELD = "held"
+    STOOD_BACK = "stood_back"
+    STOPPED = "stopped"
+
+
+@attrs.frozen
+class PendingRead:
+    """A read without a result yet."""
+
+    started_ms: float
+
+
+@attrs.frozen
+class PendingWrite:
+    """A write without a result yet.
+
+    Parameters
+    ----------
+    started_ms : float
+        Time at which the write was asked for; the validity counts from here.
+    record : LeaseRecord
+        Content written.
+    written_as : LeaseState
+        State in which it was written: a candidate creates the object, without
+        acquiring the lease.
+    save : Save or None
+        Request to store the checkpoint of `record`.
+    """
+
+    started_ms: float
+    record: LeaseRecord
+    written_as: LeaseState
+    save: Save | None
+
+
+class LeaseElection:
+    """State machine of one process: events and a time in, actions out.
+
+    Calls to the store come first among the actions.
+
+    All times are of the boot-time clock, which counts suspension. At most one call to
+    the store is pending at any moment.
+
+    Safety rests on three rules. The holder takes the lease as valid from the start of
+    a confirmed write. A candidate waits until it has read one revision over a longer
+    span, between calls that succeeded; revisions are unique, so nobody has written in
+    between. Every write is conditional on the revision known, so a late one cannot
+    undo what others wrote since.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of this daemon.
+    run : str
+        Random id of this process.
+    lease_ms : int
+        Time for which the lease is valid after the start of a confirmed write.
+    random : Random
+        Generator for the jitter.
+    now_ms : float
+        Time of the start.
+
+    Attributes
+    ----------
+    state : LeaseState
+        What this daemon is to the lease.
+    """
+
+    def __init__(
+        self, daemon: str, run: str, lease_ms: int, random: Random, now_ms: float
+    ) -> None:
+        self._daemon = daemon
+        self._run = run
+        self._lease_ms = lease_ms
+        self._random = random
+        self.state = LeaseState.CANDIDATE
+        self._may_stand = False
+        self._observation: Observation | None = None
+        self._is_observation_current = False
+        self._call: PendingRead | PendingWrite | None = None
+        self._due_ms: float | None = now_ms
+        self._valid_until_ms = 0.0
+        self._fence = 0
+        self._renewal = 0
+        self._failures = 0
+        self._saves: list[Save] = []  # the last one is to be stored
+
+    @property
+    def wake_ms(self) -> float | None:
+        """Time at which a `Woken` event is wanted; None while there is none."""
+        if self.state is not LeaseState.HELD:
+            return self._due_ms if self._call is None else None
+        if self._call is None and self._due_ms is not None:
+            return min(self._due_ms, self._valid_until_ms)
+        return self._valid_until_ms
+
+    def remaining_ms(self, now_ms: float) -> float:
+        """Return for how long the lease is still valid; 0 while it is not held."""
+        if self.state is not LeaseState.HELD:
+            return 0.0
+        return max(0.0, self._valid_until_ms - now_ms)
+
+    def fence(self, now_ms: float) -> int:
+        """Return the fencing token; 0 while the lease is not held."""
+        return self._fence if self.remaining_ms(now_ms) > 0 else 0
+
+    def handle(self, event: Event, may_stand: bool, now_ms: float) -> list[Action]:
+        """Apply an event and return what is to be done.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        may_stand : bool
+            Whether this daemon is a candidate now.
+        now_ms : float
+            Boot time of the event.
+        """
+        self._may_stand = may_stand
+        actions: list[Action] = []
+        if self.state is LeaseState.HELD and now_ms >= self._valid_until_ms:
+            actions += self._lose("expired", now_ms)
+        match event:
+            case Woken():
+                actions += self._on_woken(now_ms)
+            case ReadEnded(result):
+                actions += self._on_read(result, now_ms)
+            case WriteEnded(result):
+                actions += self._on_written(result, now_ms)
+            case SaveRequested(save):
+                actions += self._on_save(save, now_ms)
+            case StandBackRequested(reason):
+                actions += self._stand_back(reason, now_ms)
+            case StopRequested():
+                actions += self._stop(now_ms)
+        return actions
+
+    def _on_woken(self, now_ms: float) -> list[Action]:
+        if self._call is not None or self._due_ms is None or now_ms < self._due_ms:
+            return []
+        if self.state is LeaseState.STOOD_BACK:
+            self.state = LeaseState.CANDIDATE
+        if self.state is LeaseState.HELD and self._is_observation_current:
+            return self._renew(now_ms)
+        if self.state is LeaseState.CANDIDATE and not self._may_stand:
+            self._due_ms = self._next_read_ms(now_ms)
+            return []
+        self._call = PendingRead(now_ms)
+        return [SendRead()]
+
+    def _on_read(self, result: ReadResult, now_ms: float) -> list[Action]:
+        call, self._call = self._call, None
+        if self.state is LeaseState.STOOD_BACK or not isinstance(call, PendingRead):
+            return []
+        match result:
+            case Found(stored):
+                self._failures = 0
+                return self._on_found(stored, call.started_ms, now_ms)
+            case Missing():
+                self._failures = 0
+                return self._on_missing(now_ms)
+        self._retry_later(now_ms)
+        return []
+
+    def _on_found(
+        self, stored: StoredObject, started_ms: float, now_ms: float
+    ) -> list[Action]:
+        actions: list[Action] = []
+        observation = self._observation
+        if observation is not None and observation.version == stored.version:
+            observation = attrs.evolve(observation, last_ms=started_ms)
+        else:
+            record = read_record(stored.spec)
+            observation = Observation(stored.version, record, now_ms, started_ms)
+            if record is None:
+                actions.append(ReportUnreadable(stored.version))
+        self._observation = observation
+        self._is_observation_current = True
+        if self.state is LeaseState.HELD:
+            if self._is_own(observation.record):
+                return self._renew(now_ms)
+            actions += self._lose("taken_over", now_ms)
+        elif self._may_stand and (
+            self._is_own(observation.record) or observation.has_expired(self._lease_ms)
+        ):
+            return actions + self._acquire(now_ms)
+        expiry_ms = observation.expiry_ms(self._lease_ms)
+        self._due_ms = min(self._next_read_ms(now_ms), expiry_ms)
+        return actions
+
+    def _on_missing(self, now_ms: float) -> list[Action]:
+        """Create the object without acquiring the lease.
+
+        That it is missing has no revision on which a write could be conditional, so a
+        lease acquired with it could overlap with that of an object deleted since.
+        """
+        known, self._observation = self._observation, None
+        actions: list[Action] = []
+        if self.state is LeaseState.HELD:
+            actions += self._lose("deleted", now_ms)
+        if not self._may_stand:
+            self._due_ms = self._next_read_ms(now_ms)
+            return actions
+        checkpoint = known.record.checkpoint if known and known.record else {}
+        record = LeaseRecord("", "", 0, self._lease_ms, checkpoint)
+        self._call = PendingWrite(now_ms, record, self.state, None)
+        return [SendWrite(record.spec(), None), *actions]
+
+    def _acquire(self, now_ms: float) -> list[Action]:
+        self.state = LeaseState.ACQUIRING
+        return self._write(None, now_ms)
+
+    def _renew(self, now_ms: float) -> list[Action]:
+        return self._write(self._saves[-1] if self._saves else None, now_ms)
+
+    def _write(self, save: Save | None, now_ms: float) -> list[Action]:
+        if self._observation is None:
+            return []
+        self._renewal += 1
+        known = self._observation.record
+        checkpoint = known.checkpoint if known else {}
+        record = LeaseRecord(
+            self._daemon,
+            self._run,
+            self._renewal,
+            self._lease_ms,
+            save.checkpoint if save else checkpoint,
+        )
+        self._call = PendingWrite(now_ms, record, self.state, save)
+        return [SendWrite(record.spec(), self._observation.version)]
+
+    def _on_written(self, result: WriteResult, now_ms: float) -> list[Action]:
+        call, self._call = self._call, None
+        if self.state is LeaseState.STOOD_BACK or not isinstance(call, PendingWrite):
+            return []
+        if isinstance(result, Written):
+            self._failures = 0
+            version = result.stored.version
+            self._observation = Observation(version, call.record, now_ms, now_ms)
+            self._is_observation_current = True
+            return self._on_confirmed(call, version, now_ms)
+        self._is_observation_current = False
+        if self.state is LeaseState.ACQUIRING:
+            self.state = LeaseState.CANDIDATE
+        self._retry_later(now_ms)
+        return self._end_saves(confirmed=None, kept=self._saves[-1:])
+
+    def _on_confirmed(
+        self, call: PendingWrite, version: int, now_ms: float
+    ) -> list[Action]:
+        valid_until_ms = call.started_ms + self._lease_ms
+        self._due_ms = call.started_ms + self._lease_ms / RENEWALS_PER_LEASE
+        if self.state is not call.written_as or now_ms >= valid_until_ms:
+            # The lease lapsed during the write: it is read and written once more.
+            self.state = LeaseState.CANDIDATE
+            self._due_ms = now_ms
+            return []
+        if self.state is LeaseState.CANDIDATE:
+            self._due_ms = self._next_read_ms(now_ms)
+            return []
+        self._valid_until_ms = valid_until_ms
+        if self.state is LeaseState.ACQUIRING:
+            self.state = LeaseState.HELD
+            self._fence = version
+            return [NotifyAcquired(version, call.record.checkpoint)]
+        later = [save for save in self._saves if save is not call.save]
+        actions = self._end_saves(confirmed=call.save, kept=later)
+        return (self._renew(now_ms) if later else []) + actions
+
+    def _on_save(self, save: Save, now_ms: float) -> list[Action]:
+        if self.state is not LeaseState.HELD:
+            return [EndSave(save, False)]
+        call = self._call
+        written = call.save if isinstance(call, PendingWrite) else None
+        kept = [other for other in self._saves if other is written]
+        actions = self._end_saves(confirmed=None, kept=kept)
+        self._saves.append(save)
+        if call is None and self._is_observation_current:
+            return self._renew(now_ms) + actions
+        return actions
+
+    def _end_saves(self, confirmed: Save | None, kept: list[Save]) -> list[Action]:
+        ended = [save for save in self._saves if save not in kept]
+        self._saves = kept
+        return [EndSave(save, save is confirmed) for save in ended]
+
+    def _stand_back(self, reason: str, now_ms: float) -> list[Action]:
+        actions: list[Action] = [ReportStoodBack(reason)]
+        if self.state is LeaseState.HELD:
+            actions += self._lose("stood_back", now_ms)
+        self.state = LeaseState.STOOD_BACK
+        self._due_ms = now_ms + STAND_BACK_LEASES * self._lease_ms
+        return actions
+
+    def _stop(self, now_ms: float) -> list[Action]:
+        held = self.state is LeaseState.HELD
+        actions = self._lose("stopped", now_ms) if held else []
+        self.state = LeaseState.STOPPED
+        self._due_ms = None
+        return actions
+
+    def _lose(self, reason: str, now_ms: float) -> list[Action]:
+        fence, self._fence = self._fence, 0
+        self.state = LeaseState.CANDIDATE
+        self._due_ms = now_ms
+        saves = self._end_saves(confirmed=None, kept=[])
+        return [NotifyLost(fence, reason), *saves]
+
+    def _is_own(self, record: LeaseRecord | None) -> bool:
+        return record is not None and (record.holder, record.run) == (
+            self._daemon,
+            self._run,
+        )
+
+    def _next_read_ms(self, now_ms: float) -> float:
+        jitter = self._random.uniform(1 - READ_JITTER_RATIO, 1 + READ_JITTER_RATIO)
+        return now_ms + self._lease_ms / RENEWALS_PER_LEASE * jitter
+
+    def _retry_later(self, now_ms: float) -> None:
+        """Wait after a failed call: backoff with full jitter, below a read's period."""
+        doublings = min(self._failures, MAX_BACKOFF_DOUBLINGS)
+        self._failures += 1
+        longest_ms = self._lease_ms / RENEWALS_PER_LEASE
+        backoff_ms = min(MIN_BACKOFF_MS * 2.0**doublings, longest_ms)
+        self._due_ms = now_ms + self._random.uniform(0.0, backoff_ms)
+
+
+__all__ = ["LeaseElection", "LeaseState"]
