--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -28,7 +28,6 @@
 )
 from ..model.usage import checked_count, checked_name, checked_window
 from ..ports.platform import Kind, StoredObject
-from .strict_json import loads
 
 LISTING = 0
 CHANGE = 1
@@ -40,7 +39,6 @@
 BATCH = 7
 USAGE = 8
 MAX_USAGE_COUNTS = 2000  # organisations in a message
-TEXT_DEPTH = 3
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -67,7 +65,7 @@
         When the frame is not JSON or not a message of the relay.
     """
     try:
-        return _decode_message(loads(frame.encode(), TEXT_DEPTH))
+        return _decode_message(json.loads(frame))
     except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"relay: {error!r}") from error
 
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -31,6 +31,7 @@
     own_address,
     seed_addresses,
 )
+from .entry_usage import make_usage
 from .errors import SettingsError
 from .logs import make_logger
 from .platform.caller_server import CallerServer
@@ -167,6 +168,17 @@
         self._caller_server = CallerServer(
             self.gateway, lambda: self._delegated_queries.in_flight
         )
+        self._usage = make_usage(
+            settings,
+            self._timers,
+            self._store,
+            self._relay,
+            self._store_feed,
+            self._random,
+            self.logger,
+        )
+        if self._usage is not None:
+            self._usage.connect(self.gateway, self._metrics)
         self._register_gauges()
         self._stopping = asyncio.Event()
 
@@ -202,6 +214,8 @@
         self._store_feed.start(own.first_start)
         self._coordinators.start()
         self._ready_connections.start()
+        if self._usage is not None:
+            self._usage.start()
         self._timers.call_every(LOG_FLUSH_PERIOD_MS, self._flush_log)
         self._timers.call_every(RELOAD_PERIOD_MS, self._reload)
         self._timers.call_every(ZONE_PROBE_PERIOD_MS, self._context.probe_zones)
@@ -359,6 +373,8 @@
         daemons; then the running requests are completed and everything is closed.
         """
         self._delegated_queries.stop()
+        if self._usage is not None:
+            self._usage.prepare_stop()
         await stop_serving(
             self._caller_server,
             listener.close,
@@ -366,6 +382,8 @@
             StopTimes.for_grace(self._settings.bounds.grace_ms),
             self.logger,
         )
+        if self._usage is not None:
+            await self._usage.stop()
         self._leaf_client.close()
         self._coordinators.close()
         await self._relay.close()
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -90,6 +90,8 @@
         Hands configurations on to other daemons and gets newer ones from them.
     on_usage : Callable or None
         Called with the counts that followers report; None to ignore them.
+    registered_names : frozenset of str or None
+        Names in the last listing of the registry; None before the first.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
     ) -> None:
         self._on_daemons = on_daemons
         self.on_usage: Callable[[RelayUsage], None] | None = None
+        self.registered_names: frozenset[str] | None = None
         self._registration = Registration(platform, own, context.timers, logger)
         self._seeds = seeds
         self._platform = platform
@@ -222,7 +225,7 @@
         return messages + lost
 
     def on_follower_message(self, message: RelayMessage) -> None:
-        """Apply what a follower reports; evidence is forwarded with this daemon's own."""
+        """Apply what a follower reports; forward evidence with this daemon's own."""
         match message:
             case RelayEvidence(leafs):
                 self._evidence.add_reported(leafs)
@@ -271,6 +274,8 @@
         match result:
             case Listed(objects, _):
                 daemons = self._read_daemons(objects)
+                names = (daemon.name for daemon in daemons)
+                self.registered_names = frozenset((*names, self._own.name))
                 self._context.add_daemons((*daemons, self._own))
                 self._on_daemons(daemons)
             case Failed(detail):
--- a/src/snipemount/usage/report_plan.py
+++ b/src/snipemount/usage/report_plan.py
@@ -186,7 +186,7 @@
         self._next_ms = now_ms + max(delay_ms, min(retry_after_ms, MAX_BACKOFF_MS))
 
     def postponed(self) -> None:
-        """Record that a send was not made, as the lease or the rate did not allow it."""
+        """Record that a send was not made: the lease or the rate did not allow it."""
         self._is_busy = False
 
     def should_stand_back(self, now_ms: float) -> bool:
@@ -194,6 +194,10 @@
         since_ms = self._failing_since_ms
         return since_ms is not None and now_ms - since_ms >= STAND_BACK_MS
 
+    def stood_back(self) -> None:
+        """Record that the duty is being left; failures count anew."""
+        self._failing_since_ms = None
+
     @property
     def _first_listing_ms(self) -> float:
         if self._phase is not _Phase.COLLECT:
--- a/src/snipemount/usage/stored_counts.py
+++ b/src/snipemount/usage/stored_counts.py
@@ -42,7 +42,7 @@
 
 
 def decode_counts(
-    document: dict[str, Any], into: UsageCollection, first_window: int
+    document: dict[str, Any], into: UsageCollection, first: int, last: int
 ) -> list[str]:
     """Merge the counts of a document into a collection.
 
@@ -52,8 +52,8 @@
         The stored document.
     into : UsageCollection
         Receives the counts.
-    first_window : int
-        Earlier windows are left out.
+    first, last : int
+        Windows to read; the others are left out.
 
     Returns
     -------
@@ -70,7 +70,7 @@
     except MALFORMED_INPUT_ERRORS as error:
         return [f"document: {error!r}"[:200]]
     for window, daemons in numbered.items():
-        if window >= first_window:
+        if first <= window <= last:
             _decode_window(window, daemons, organisations, into, faults)
     return faults[:MAX_FAULTS]
 
--- a/src/snipemount/usage/usage_collection.py
+++ b/src/snipemount/usage/usage_collection.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Of one window, in all collections together; several times the daemons of any deployment.
+# Of one window; several times the daemons of any deployment.
 MAX_RUNS = 10_000
 
 Run = tuple[str, str]  # name of the daemon, id of its process
--- a/src/snipemount/usage/usage_collector.py
+++ b/src/snipemount/usage/usage_collector.py
@@ -1,4 +1,4 @@
-"""Collects the counts of this daemon and its followers, and writes them to the store."""
+"""Collects the counts of a daemon and its followers, and writes them to the store."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     from .window_times import WindowTimes
 
 WRITE_PERIOD_MS = 2000.0
-# A daemon that has lost its relay follows another one soon; until then it writes nothing.
+# A daemon that has lost its relay follows another one soon; it writes nothing before.
 STORE_FOLLOWED_MS = 2000.0
 LOG_PERIOD_MS = 1000.0  # of lines about dropped counts
 
@@ -72,9 +72,14 @@
         self.dropped = 0
 
     @property
-    def has_unwritten(self) -> bool:
-        """Whether the store lacks some counts, or may lack them."""
-        return self._has_unwritten or self._object.is_busy
+    def is_writing(self) -> bool:
+        """Whether a write is pending."""
+        return self._object.is_busy
+
+    @property
+    def has_unwritten_of_others(self) -> bool:
+        """Whether the store lacks some counts that followers have sent."""
+        return self._has_unwritten_of_others
 
     def add(self, usage: RelayUsage) -> None:
         """Merge what a process has counted in a window."""
@@ -106,11 +111,8 @@
             sent before is written; the own counts go to the daemon that is followed.
         """
         self._collection.remove_before(self._times.first_due(self._clock.now_ms()))
-        if self._object.is_busy or not self._has_unwritten:
-            self._note_following(follows_store)
-            return
         self._note_following(follows_store)
-        if not self._may_write():
+        if self._object.is_busy or not self._has_unwritten or not self._may_write():
             return
         now_ms = self._timers.now_ms()
         window = self._times.at(self._clock.now_ms()) - 1
@@ -139,8 +141,7 @@
         return self._timers.now_ms() - self._store_since_ms >= STORE_FOLLOWED_MS
 
     def _is_complete(self, window: int) -> bool:
-        """Return whether all daemons with counts in this window or the one before it
-        have closed it."""
+        """Return whether all daemons with counts in it or the one before closed it."""
         before = self._collection.daemons(window - 1)
         return not self._collection.missing(window, before)
 
@@ -151,13 +152,14 @@
 
     def _on_read(self, document: dict[str, Any]) -> None:
         """Keep what an earlier process of this daemon has written."""
-        first = self._times.first_due(self._clock.now_ms())
-        faults = decode_counts(document, self._collection, first)
+        now_ms = self._clock.now_ms()
+        first, last = self._times.first_due(now_ms), self._times.at(now_ms) + 1
+        faults = decode_counts(document, self._collection, first, last)
         self._drop(faults, self._own_name)
 
     def _on_written(self, fault: str) -> None:
         if fault:
-            self._has_unwritten = True
+            self._has_unwritten = self._has_unwritten_of_others = True
             self._logger.warning("usage_not_written", reason=fault)
 
     def _drop(self, causes: list[str], sender: str) -> None:
--- a/src/snipemount/usage/usage_duty.py
+++ b/src/snipemount/usage/usage_duty.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..decisions.estimates.token_bucket import TokenBucket
+from ..duties.observer import LeaseObserver
 from ..errors import DecodeError
 from ..ports.platform import Failed, Kind, Listed
 from ..ports.usage import ReportAccepted, ReportRejected, ReportUnanswered
@@ -37,7 +38,7 @@
 ABORT_MARGIN_MS = 100.0  # for a busy loop to abort a call at its timeout
 RATE_SHARE = 0.9  # calls that are made evenly may arrive closer together
 MAX_NAMED_DAEMONS = 8  # in a log line
-TOO_MANY_CALLS = 429
+UNKNOWN_DAEMONS = "unknown"  # named as missing while the registry was not read
 
 
 class Lease(Protocol):
@@ -50,16 +51,14 @@
     def remaining_ms(self) -> float:
         """Return for how long the lease is held for certain."""
 
-    def save(
-        self, checkpoint: dict[str, Any], done: Callable[[bool], None]
-    ) -> None:
+    def save(self, checkpoint: dict[str, Any], done: Callable[[bool], None]) -> None:
         """Store a checkpoint; `done` gets whether that was confirmed."""
 
     def stand_back(self, reason: str) -> None:
         """Leave the duty to another daemon."""
 
 
-class UsageDuty:
+class UsageDuty(LeaseObserver):
     """Reports each window while this daemon holds the duty.
 
     Parameters
@@ -80,6 +79,8 @@
         The store with the counts.
     port : UsagePort
         Sends the reports.
+    daemons : Callable
+        Returns the names of the registered daemons; None while they are not known.
     random : Random
         Source of jitter.
     logger : FilteringBoundLogger
@@ -103,6 +104,7 @@
         timers: TimerService,
         platform: PlatformPort,
         port: UsagePort,
+        daemons: Callable[[], Iterable[str] | None],
         random: Random,
         logger: FilteringBoundLogger,
     ) -> None:
@@ -119,7 +121,7 @@
             per_ms = RATE_SHARE * calls_per_s / 1000.0
             self._bucket = TokenBucket(1.0, per_ms, timers.now_ms())
         self._plan = ReportPlan(times, random)
-        self._daemons: frozenset[str] | None = None
+        self._daemons = daemons
         self._tenure = 0  # results of calls of an earlier one are ignored
         self._ticks: Timer | None = None
         self._call: UsageCall | None = None
@@ -128,11 +130,7 @@
         self.given_up = 0
         self.incomplete = 0
 
-    def set_daemons(self, names: Iterable[str]) -> None:
-        """Replace the names of the registered daemons."""
-        self._daemons = frozenset(names)
-
-    def on_acquired(self, fence: int, checkpoint: dict[str, Any] | None) -> None:
+    def on_acquired(self, fence: int, checkpoint: dict[str, Any]) -> None:
         """Begin to report, first what the holder before has saved."""
         self._end()
         self._tenure += 1
@@ -194,12 +192,11 @@
     def _assemble(self, window: int, objects: tuple[StoredObject, ...]) -> None:
         collection = UsageCollection()
         for stored in objects:
-            for fault in decode_counts(stored.spec, collection, window):
-                self._logger.warning(
-                    "usage_dropped", sender=stored.name, reason=fault
-                )
-        known = self._daemons
-        report = collection.report(window, ("unknown",) if known is None else known)
+            for fault in decode_counts(stored.spec, collection, window, window):
+                self._logger.warning("usage_dropped", sender=stored.name, reason=fault)
+        known = self._daemons()
+        expected = (UNKNOWN_DAEMONS,) if known is None else known
+        report = collection.report(window, expected)
         is_final = self._plan.listed(report, self._clock.now_ms())
         if is_final and report.missing:
             self.incomplete += 1
