--- /dev/null
+++ b/tests/steps/usage_merge_steps.py
@@ -0,0 +1,431 @@
+"""Steps on merging counts, and on what is sent and stored."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import attrs
+from aiohttp import web
+from behave import then, when
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+from relay_steps import run, wait_until
+from usage_world import DUE_MS, WINDOW_MS
+
+from snipemount.adapters.relay_codec import (
+    MAX_USAGE_COUNTS,
+    decode_relay,
+    decode_relay_text,
+    encode_relay,
+    encode_relay_text,
+)
+from snipemount.errors import DecodeError
+from snipemount.model.relay import RelayEvidence, RelayUsage, SlowLeaf
+from snipemount.platform.node_file import Endpoint
+from snipemount.platform.usage_client import UsageClient
+from snipemount.ports.usage import ReportAccepted, ReportRejected, ReportUnanswered
+from snipemount.standins.harness import free_port
+from snipemount.timers import VirtualTimers
+from snipemount.usage.report_checkpoint import ReportCheckpoint
+from snipemount.usage.report_plan import (
+    GiveUpWindow,
+    ListCounts,
+    ReportPlan,
+    SaveCheckpoint,
+    SendReport,
+)
+from snipemount.usage.stored_counts import MAX_WINDOWS, decode_counts, encode_counts
+from snipemount.usage.usage_collection import UsageCollection, WindowReport
+from snipemount.usage.usage_collector import UsageCollector
+from snipemount.usage.wall_clock import WallClock
+from snipemount.usage.window_times import WindowTimes
+
+HOST = "127.0.0.1"
+NAMES = st.text(min_size=1, max_size=12)
+COUNTS = st.dictionaries(NAMES, st.integers(0, 2**53), max_size=6)
+USAGES = st.builds(
+    RelayUsage,
+    NAMES,
+    NAMES,
+    st.integers(0, 2**40),
+    st.booleans(),
+    COUNTS.map(lambda counts: tuple(counts.items())),
+)
+# Requests of one process, in the order in which it counts them.
+HISTORIES = st.lists(
+    st.lists(st.sampled_from(("a", "b", "c")), max_size=12), min_size=1, max_size=4
+)
+SAMPLE = RelayUsage("edge-1", "run1", 70, True, (("ralo620", 412),))
+
+
+def messages_of(number, history):
+    """Return the cumulative messages of a process, one after each request."""
+    counts: dict[str, int] = {}
+    messages = []
+    for organisation in history:
+        counts[organisation] = counts.get(organisation, 0) + 1
+        messages.append(
+            RelayUsage(f"d{number}", "run", 7, False, tuple(counts.items()))
+        )
+    return messages + [RelayUsage(f"d{number}", "run", 7, True, tuple(counts.items()))]
+
+
+def add(collection, usage):
+    """Add a message to a collection."""
+    run_of = (usage.daemon, usage.run)
+    collection.add(usage.window, run_of, usage.closed, usage.counts)
+
+
+def truth_of(histories):
+    """Return the sums of all requests."""
+    requests = [organisation for history in histories for organisation in history]
+    return {name: requests.count(name) for name in sorted(set(requests))}
+
+
+@then(
+    "messages in any order, repeated and spread over collectors merge to the last"
+    " counts"
+)
+def step_any_order(context):
+    @for_any(HISTORIES, st.integers(0, 2**32), st.integers(1, 3))
+    def check(histories, seed, collectors):
+        random = Random(seed)
+        messages = [m for n, h in enumerate(histories) for m in messages_of(n, h)]
+        messages += random.choices(messages, k=len(messages))
+        random.shuffle(messages)
+        known = [UsageCollection() for _ in range(collectors)]
+        for message in messages:
+            add(random.choice(known), message)
+        merged = UsageCollection()
+        for collection in random.sample(known, collectors):
+            assert not decode_counts(encode_counts(collection), merged, 0, 99)
+        report = merged.report(7, [f"d{n}" for n in range(len(histories))])
+        assert report == WindowReport(truth_of(histories), ())
+        assert merged.report(7, ["other"]).missing == ("other",)
+
+    check()
+
+
+@then("a collector's object in any state of its writes adds nothing to them")
+def step_old_objects(context):
+    @for_any(HISTORIES, st.integers(0, 2**32))
+    def check(histories, seed):
+        random = Random(seed)
+        messages = [m for n, h in enumerate(histories) for m in messages_of(n, h)]
+        old = UsageCollection()
+        for message in random.sample(messages, random.randint(0, len(messages))):
+            add(old, message)
+        merged = UsageCollection()
+        for message in messages:
+            add(merged, message)
+        assert not decode_counts(encode_counts(old), merged, 0, 99)
+        assert merged.report(7, ()) == WindowReport(truth_of(histories), ())
+
+    check()
+
+
+@then("any counts survive the encoding of a message, as text and binary")
+def step_codec(context):
+    @for_any(USAGES)
+    def check(usage):
+        assert decode_relay_text(encode_relay_text(usage)) == usage
+        assert decode_relay(encode_relay(usage)) == usage
+
+    check()
+
+
+@then("any collection survives the encoding of its object")
+def step_object_codec(context):
+    @for_any(st.lists(USAGES, max_size=6))
+    def check(usages):
+        collection, decoded = UsageCollection(), UsageCollection()
+        for usage in usages:
+            add(collection, usage)
+        assert not decode_counts(encode_counts(collection), decoded, 0, 2**40)
+        assert decoded.windows == collection.windows
+        for window in collection.windows:
+            daemons = collection.daemons(window)
+            assert decoded.daemons(window) == daemons
+            assert decoded.report(window, ()) == collection.report(window, ())
+
+    check()
+
+
+@then("a message with a malformed field, or with 2001 organisations, is refused")
+def step_malformed_message(context):
+    too_many = tuple((f"o{n}", 1) for n in range(MAX_USAGE_COUNTS + 1))
+    fields = [
+        {"daemon": ""},
+        {"daemon": 7},
+        {"run": "x" * 300},
+        {"window": -1},
+        {"window": 1.5},
+        {"window": True},
+        {"closed": 1},
+        {"counts": (("a", -1),)},
+        {"counts": (("a", "1"),)},
+        {"counts": (("a", 2**60),)},
+        {"counts": (("a",),)},
+        {"counts": ((3, 1),)},
+        {"counts": too_many},
+    ]
+    for changed in fields:
+        frame = encode_relay_text(attrs.evolve(SAMPLE, **changed))
+        try:
+            decode_relay_text(frame)
+        except DecodeError:
+            continue
+        raise AssertionError(f"{changed} was read")
+
+
+@then("of an object with odd entries the others are read, and causes are stated")
+def step_odd_entries(context):
+    good = {"run": {"closed": True, "counts": [3, 1]}}
+    odd = [
+        7,
+        {"run": {"closed": "yes", "counts": [1]}},
+        {"run": {"closed": True, "counts": [1, 2, 3]}},
+        {"run": {"closed": True, "counts": [-1]}},
+        {"run": {"closed": True, "counts": "12"}},
+        {"run": {"counts": [1]}},
+        {"": {"closed": True, "counts": [1]}},
+    ]
+    for entry in odd:
+        window = {"odd": entry, "good": good}
+        document = {"organisations": ["a", "b"], "windows": {"7": window, "8": []}}
+        collection = UsageCollection()
+        faults = decode_counts(document, collection, 0, 99)
+        assert len(faults) == 2, (entry, faults)
+        assert collection.report(7, ()) == WindowReport({"a": 3, "b": 1}, ()), entry
+
+
+@then("an object with too many windows or organisations is left out, with a cause")
+def step_odd_objects(context):
+    windows = {str(number): {} for number in range(MAX_WINDOWS + 1)}
+    documents = [
+        {},
+        {"organisations": [], "windows": windows},
+        {"organisations": [f"o{n}" for n in range(2001)], "windows": {}},
+        {"organisations": ["a", "a"], "windows": {}},
+        {"organisations": [["a"]], "windows": {}},
+        {"organisations": "a", "windows": {}},
+        {"organisations": [], "windows": {"x": {}}},
+        {"organisations": [], "windows": 3},
+    ]
+    for document in documents:
+        collection = UsageCollection()
+        assert len(decode_counts(document, collection, 0, 99)) == 1, document
+        assert not collection.windows
+
+
+@then("counts of a window in the future are dropped, those of an old one are ignored")
+def step_out_of_range(context):
+    timers = VirtualTimers()
+    timers.run_until(50_000.0)
+    lines = []
+
+    class Logger:
+        """Records warnings."""
+
+        def warning(self, event, **fields):
+            """Record a warning."""
+            lines.append(event)
+
+    times = WindowTimes(WINDOW_MS, DUE_MS)
+    collector = UsageCollector(times, WallClock(timers), timers, None, "own", Logger())
+    collector.add(attrs.evolve(SAMPLE, window=7))
+    assert (collector.dropped, lines) == (0, [])
+    for _ in range(50):
+        collector.add(attrs.evolve(SAMPLE, window=12))
+    assert (collector.dropped, lines) == (50, ["usage_dropped"])
+    collector.add(attrs.evolve(SAMPLE, window=11))
+    assert collector.dropped == 50
+
+
+@when("the follower reports counts, and its frames are recorded")
+def step_report_counts(context):
+    context.frames = []
+
+    async def report():
+        connection = context.follower._followed_connection
+        for kind in ("text", "binary"):
+            record(context.frames, connection.protocol, kind)
+        context.follower.report(SAMPLE)
+        context.follower.report(RelayEvidence((SlowLeaf("leaf-1", 2.5),)))
+        await wait_until(lambda: len(context.reports) >= 2)
+
+    run(context, report())
+
+
+def record(frames, protocol, kind):
+    """Record the frames of a kind that a connection sends."""
+    send = getattr(protocol, f"send_{kind}")
+
+    def recording(data, *args, **options):
+        frames.append(kind)
+        return send(data, *args, **options)
+
+    setattr(protocol, f"send_{kind}", recording)
+
+
+@then("the followed daemon has received the counts")
+def step_received_counts(context):
+    assert context.reports[0] == SAMPLE, context.reports
+    assert isinstance(context.reports[1], RelayEvidence)
+
+
+@then("they were in a text frame, and a slow leaf is reported in a binary one")
+def step_frames(context):
+    assert context.frames == ["text", "binary"], context.frames
+
+
+@when("the follower sends texts that are no messages")
+def step_bad_texts(context):
+    async def send():
+        for text in ("", "{", "[8]", '[99, "of a later build"]', "[" * 5000):
+            await context.follower._followed_connection.send(text)
+
+    run(context, send())
+
+
+class PostedReports:
+    """Takes reports over HTTP, with a response for each."""
+
+    def __init__(self, responses) -> None:
+        self.responses = list(responses)
+        self.requests: list = []
+        self.peers: list = []
+        self.port = free_port()
+
+    async def respond(self, request):
+        """Record a request and respond; None does not respond."""
+        self.requests.append((request.path, request.headers, await request.json()))
+        self.peers.append(request.transport.get_extra_info("peername"))
+        response = self.responses.pop(0)
+        if response is None:
+            await asyncio.sleep(1.0)
+            return web.Response()
+        status, headers = response
+        return web.Response(status=status, headers=headers)
+
+
+def post(server, count, timers=None, use=None):
+    """Send reports one after the other; return the results."""
+    results = []
+
+    async def work():
+        runner = web.ServerRunner(web.Server(server.respond), shutdown_timeout=0.0)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, server.port).start()
+        client = UsageClient(Endpoint(HOST, server.port), timers or VirtualTimers())
+        for number in range(count):
+            call = client.send("edge-1", 41, 70, {"a": 5}, 200.0, results.append)
+            if use is not None:
+                use(call)
+            expected = number + 1
+            for _ in range(60):
+                if len(results) >= expected:
+                    break
+                await asyncio.sleep(0.01)
+        await client.close()
+        await runner.cleanup()
+
+    asyncio.run(work())
+    return results
+
+
+@then("a report is posted with its headers and body over a connection of its own")
+def step_posted(context):
+    server = PostedReports([(200, {})] * 2)
+    assert post(server, 2) == [ReportAccepted()] * 2
+    path, headers, body = server.requests[0]
+    assert path == "/usage"
+    assert headers["X-Duty-Holder"] == "edge-1"
+    assert headers["X-Fencing-Token"] == "41"
+    assert body == {"window": 70, "counts": {"a": 5}}
+    assert len(set(server.peers)) == 2
+
+
+@then("responses 200, 429 with Retry-After, 500 and none at all are told apart")
+def step_results(context):
+    responses = [
+        (200, {}),
+        (429, {"Retry-After": "0.25"}),
+        (500, {"Retry-After": "soon"}),
+        None,
+    ]
+    results = post(PostedReports(responses), 4)
+    assert results[:3] == [
+        ReportAccepted(),
+        ReportRejected(429, 250.0),
+        ReportRejected(500),
+    ]
+    assert isinstance(results[3], ReportUnanswered)
+
+
+@then("a call that was cancelled, or connects after its time has passed, sends nothing")
+def step_nothing_sent(context):
+    server = PostedReports([(200, {})] * 2)
+    assert post(server, 1, use=lambda call: call.cancel()) == []
+
+    class Suspended(VirtualTimers):
+        """Boot time that passes by 10 s with each look."""
+
+        def boot_ms(self):
+            """Return a later time at each call."""
+            self.suspend(10_000.0)
+            return super().boot_ms()
+
+    (result,) = post(server, 1, Suspended())
+    assert isinstance(result, ReportUnanswered)
+    assert not server.requests
+
+
+@then(
+    "the plan sends only confirmed counts, in order, and none after the next checkpoint"
+)
+def step_plan(context):
+    @for_any(st.integers(0, 2**32))
+    def check(seed):
+        random = Random(seed)
+        times = WindowTimes(WINDOW_MS, DUE_MS)
+        plan, stored, now_ms = ReportPlan(times, random), None, 40_000.0
+        plan.acquired(None, now_ms)
+        begun, sent = -1, {}
+        for number in range(600):
+            now_ms += random.choice((20.0, 100.0, 700.0))
+            if random.random() < 0.02:  # the next holder, with what is stored
+                plan = ReportPlan(times, random)
+                plan.acquired(stored, now_ms)
+            match plan.next_action(now_ms):
+                case ListCounts(window):
+                    missing = random.choice(((), ("edge-1",)))
+                    report = WindowReport({"a": number}, missing)
+                    if random.random() < 0.2:
+                        plan.failed(now_ms)
+                    else:
+                        final = plan.listed(report, now_ms)
+                        late = now_ms >= times.end_ms(window) + 6000.0
+                        assert final == (late or not missing)
+                case SaveCheckpoint(ReportCheckpoint(window) as checkpoint):
+                    assert window >= begun
+                    begun = window
+                    was_stored, confirmed = random.random() < 0.8, False
+                    if was_stored:
+                        stored, confirmed = checkpoint, random.random() < 0.8
+                    plan.saved(confirmed, now_ms)
+                case SendReport(window, counts):
+                    assert window >= begun
+                    assert stored == ReportCheckpoint(window, counts)
+                    assert not times.is_past_due(window, now_ms)
+                    assert sent.setdefault(window, counts) == counts
+                    if random.random() < 0.6:
+                        plan.accepted()
+                    else:
+                        plan.failed(now_ms)
+                case GiveUpWindow(window):
+                    assert times.is_past_due(window, now_ms)
+        assert list(sent) == sorted(sent)
+
+    check()
