--- a/src/snipemount/usage/stored_counts.py
+++ b/src/snipemount/usage/stored_counts.py
@@ -15,7 +15,7 @@
 
 MAX_ORGANISATIONS = 2000
 MAX_DAEMONS = 2000  # of one collector, in one window
-MAX_WINDOWS = 16
+MAX_WINDOWS = 64
 MAX_FAULTS = 4  # that are stated of one object
 
 
--- a/src/snipemount/usage/usage_counter.py
+++ b/src/snipemount/usage/usage_counter.py
@@ -8,8 +8,6 @@
 
 import attrs
 
-from .window_times import KEPT_WINDOWS
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -71,10 +69,10 @@
 
     def __init__(self, times: WindowTimes, now_ms: float) -> None:
         self._times = times
-        first, current = times.first_due(now_ms), times.at(now_ms)
+        self._current = times.at(now_ms)
         self._windows = {
-            window: _Window(closed=window < current)
-            for window in range(max(first, current - KEPT_WINDOWS + 1), current + 1)
+            window: _Window(closed=window < self._current)
+            for window in range(times.first_due(now_ms), self._current + 1)
         }
         self._open: dict[int, _OpenRequest] = {}
         self._numbers = count()
@@ -110,7 +108,7 @@
     def began(self, organisation: str, at_ms: float) -> None:
         """Count a request whose first attempt was made at a time."""
         number = self._times.at(at_ms)
-        if number <= max(self._windows) - KEPT_WINDOWS:
+        if not self._is_kept(number):
             return
         window = self._windows.setdefault(number, _Window())
         window.counts[organisation] += 1
@@ -118,8 +116,10 @@
 
     def advance(self, now_ms: float) -> None:
         """Begin the present window, close earlier ones and remove the oldest."""
-        self._windows.setdefault(self._times.at(now_ms), _Window())
-        for number in sorted(self._windows)[:-KEPT_WINDOWS]:
+        self._current = self._times.at(now_ms)
+        self._windows.setdefault(self._current, _Window())
+        # Later windows remain when the time of day was wrong for long and is set back.
+        for number in [n for n in self._windows if not self._is_kept(n)]:
             del self._windows[number]
         for number, window in self._windows.items():
             if not window.closed and self._may_close(number, now_ms):
@@ -147,6 +147,9 @@
             window.changed = False
         return changed
 
+    def _is_kept(self, number: int) -> bool:
+        return self._current - self._times.kept < number <= self._current + 1
+
     def _may_close(self, number: int, now_ms: float) -> bool:
         end_ms = self._times.end_ms(number)
         if now_ms < end_ms + CLOSE_DELAY_MS:
--- a/src/snipemount/usage/window_times.py
+++ b/src/snipemount/usage/window_times.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
-# Counts of a window are kept so long that they can be sent again to another collector.
-KEPT_WINDOWS = 6
+MIN_KEPT_WINDOWS = 6
 
 
 @attrs.frozen
@@ -23,6 +24,14 @@
     window_ms: float
     due_ms: float
 
+    @property
+    def kept(self) -> int:
+        """Number of windows whose counts a process keeps, to send them again.
+
+        Those whose reports are not late yet, the present one, and one more.
+        """
+        return max(MIN_KEPT_WINDOWS, math.ceil(self.due_ms / self.window_ms) + 2)
+
     def at(self, true_ms: float) -> int:
         """Return the number of the window that contains a time."""
         return int(true_ms // self.window_ms)
@@ -47,4 +56,4 @@
         return self.first_due(true_ms) <= window <= self.at(true_ms) + 1
 
 
-__all__ = ["KEPT_WINDOWS", "WindowTimes"]
+__all__ = ["WindowTimes"]
--- a/tests/steps/usage_counting_steps.py
+++ b/tests/steps/usage_counting_steps.py
@@ -123,6 +123,12 @@
     return counts
 
 
+@when("the clock shows {wrong_ms:g} ms for a time, then {right_ms:g} ms again")
+def step_wrong(context, wrong_ms, right_ms):
+    context.counter.advance(wrong_ms)
+    context.counter.advance(right_ms)
+
+
 @then("window {window:d} is not closed at {at_ms:g} ms")
 def step_open(context, window, at_ms):
     assert not window_at(context, window, at_ms).closed
