--- a/src/snipemount/entry_usage.py
+++ b/src/snipemount/entry_usage.py
@@ -145,6 +145,7 @@
         for _ in range(2):  # a write that was pending may lack the last counts
             while self.collector.is_writing and self._timers.now_ms() < end_ms:
                 await self._timers.sleep(POLL_PERIOD_MS)
+            self._forwarder.forward()  # to the store, if the relay has stopped as well
             self._write_last()
         await self._client.close()
 
--- a/src/snipemount/usage/report_plan.py
+++ b/src/snipemount/usage/report_plan.py
@@ -16,6 +16,8 @@
     from .window_times import WindowTimes
 
 FIRST_LISTING_MS = 2500.0  # after a window's end; all daemons have closed it then
+# Until the next listing; doubled each time, as the store charges for calls and a
+# daemon that is down stays registered.
 LISTING_PERIOD_MS = 700.0
 LAST_LISTING_MS = 6000.0  # after it nothing is waited for, so that a retry still fits
 MIN_BACKOFF_MS = 200.0
@@ -90,6 +92,7 @@
         self._counts: dict[str, int] = {}
         self._is_busy = False
         self._next_ms = 0.0
+        self._listings = 0
         self._failures = 0
         self._failing_since_ms: float | None = None
 
@@ -154,7 +157,9 @@
         self._succeeded()
         last_ms = self._times.end_ms(self._window) + LAST_LISTING_MS
         if report.missing and now_ms < last_ms:
-            self._next_ms = min(now_ms + LISTING_PERIOD_MS, last_ms)
+            period_ms = LISTING_PERIOD_MS * 2.0**self._listings
+            self._listings += 1
+            self._next_ms = min(now_ms + period_ms, last_ms)
             return False
         self._phase, self._counts = _Phase.SAVE, report.counts
         return True
@@ -209,6 +214,7 @@
         self._phase, self._counts = _Phase.COLLECT, {}
         self._is_busy = False
         self._next_ms = 0.0
+        self._listings = 0
         self._failures = 0
 
     def _succeeded(self) -> None:
