--- a/src/snipemount/duties/election.py
+++ b/src/snipemount/duties/election.py
@@ -82,7 +82,7 @@
 class LeaseElection:
     """State machine of one process: events and a time in, actions out.
 
-    Calls to the store come first among the actions.
+    Calls to the store come before notifications among the actions.
 
     All times are of the boot-time clock, which counts suspension. At most one call to
     the store is pending at any moment.
@@ -163,23 +163,21 @@
             Boot time of the event.
         """
         self._may_stand = may_stand
-        actions: list[Action] = []
-        if self.state is LeaseState.HELD and now_ms >= self._valid_until_ms:
-            actions += self._lose("expired", now_ms)
+        lapsed = self.state is LeaseState.HELD and now_ms >= self._valid_until_ms
+        lost = self._lose("expired", now_ms) if lapsed else []
         match event:
             case Woken():
-                actions += self._on_woken(now_ms)
+                return self._on_woken(now_ms) + lost
             case ReadEnded(result):
-                actions += self._on_read(result, now_ms)
+                return self._on_read(result, now_ms) + lost
             case WriteEnded(result):
-                actions += self._on_written(result, now_ms)
+                return self._on_written(result, now_ms) + lost
             case SaveRequested(save):
-                actions += self._on_save(save, now_ms)
+                return self._on_save(save, now_ms) + lost
             case StandBackRequested(reason):
-                actions += self._stand_back(reason, now_ms)
+                return self._stand_back(reason, now_ms) + lost
             case StopRequested():
-                actions += self._stop(now_ms)
-        return actions
+                return self._stop(now_ms) + lost
 
     def _on_woken(self, now_ms: float) -> list[Action]:
         if self._call is not None or self._due_ms is None or now_ms < self._due_ms:
@@ -225,7 +223,8 @@
         if self.state is LeaseState.HELD:
             if self._is_own(observation.record):
                 return self._renew(now_ms)
-            actions += self._lose("taken_over", now_ms)
+            reason = "taken_over" if observation.record else "unreadable"
+            actions += self._lose(reason, now_ms)
         elif self._may_stand and (
             self._is_own(observation.record) or observation.has_expired(self._lease_ms)
         ):
--- /dev/null
+++ b/tests/duties/lease.feature
@@ -0,0 +1,81 @@
+Feature: A duty is held by one daemon at a time
+
+  # Guards against two holders at one moment, a fencing token used twice, a duty that goes
+  # back to a daemon within a lease time, a confirmed checkpoint lost, and no holder.
+  Scenario: For any faults there is one holder at most, and afterwards one
+    Then for any faults at most one of 2 to 5 daemons holds the duty, and soon one does
+
+  # Guards against a holder that relies on a write of which it knows nothing.
+  Scenario: A holder that is cut off while it writes stops before the duty passes on
+    Given 3 daemons, one of which holds the duty
+    When the holder is cut off for 20000 ms from the moment of a write
+    And 3000 ms pass
+    Then the first holder has stopped, and its last save was not confirmed
+    And the event duty_lost was logged with reason expired
+    And after 2000 ms the duty has passed on with a greater fencing token
+
+  # Guards against a clock that stops during suspension, and against a response of a write
+  # that began before it.
+  Scenario: A suspended holder is none when it wakes
+    Given 3 daemons, one of which holds the duty
+    When the holder is suspended for 10000 ms from the moment of a write
+    And 9990 ms pass
+    And 20 ms pass
+    Then the first holder has stopped, and its last save was not confirmed
+    And after 0 ms the duty has passed on with a greater fencing token
+
+  # Guards against a validity that counts from the read that shows the own write.
+  Scenario: A daemon whose acquisition got no response holds the duty after a renewal
+    Given a daemon whose write that acquires the lease gets no response
+    Then it is not the holder while it does not know
+    When 2000 ms pass
+    Then the same daemon holds it with a greater fencing token
+
+  # Guards against a new process that takes the lease of an earlier one for its own, and
+  # against an early takeover after a planned stop.
+  Scenario Outline: A restarted daemon waits like any other candidate
+    Given 1 daemons, one of which holds the duty
+    When the holder's process is replaced after <end>
+    And 6000 ms pass
+    Then the same daemon holds it with a greater fencing token
+    And nobody held it for at least 3700 ms
+
+    Examples:
+      | end    |
+      | a stop |
+      | a kill |
+
+  # Guards against two daemons that act within a lease time after a release.
+  Scenario: A holder that stands back is followed only after the expiry
+    Given 3 daemons, one of which holds the duty
+    When the holder is stand back for 1 ms
+    Then after 5500 ms the duty has passed on with a greater fencing token
+    And nobody held it for at least 2700 ms
+    And the event duty_stood_back was logged with reason test
+
+  # Guards against an object of another writer that ends the duty for good.
+  Scenario: A spoilt object expires like a lease
+    Given 1 daemons, one of which holds the duty
+    When another writer spoils the object
+    And 6000 ms pass
+    Then the same daemon holds it with a greater fencing token
+    And the event duty_lease_unreadable was logged with version 4
+    And the event duty_lost was logged with reason unreadable
+
+  # Guards against calls that grow with the fleet, and against a holder that gives up the
+  # duty when it begins to follow a relay.
+  Scenario: Only candidates and the holder call the store
+    Given 5 daemons, one of which holds the duty
+    When no daemon is a candidate
+    Then in 2000 ms each other daemon makes 0 to 1 calls
+    And in 6000 ms each other daemon makes 0 to 0 calls
+    And in 6000 ms the first holder makes 6 to 20 calls
+    When the holder is cut off for 30000 ms
+    And 5000 ms pass
+    Then in 6000 ms each daemon makes 0 to 0 calls
+
+  # Guards against a storm of calls, each of which is charged.
+  Scenario: Calls that fail at once are repeated with growing pauses
+    Given 5 daemons, one of which holds the duty
+    When the store refuses all calls
+    Then in 20000 ms each daemon makes 10 to 70 calls
--- /dev/null
+++ b/tests/steps/duty_steps.py
@@ -0,0 +1,180 @@
+"""Steps on the lease of a duty that one daemon holds at a time."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from duty_world import DUTY, LEASE_MS, DutyWorld
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from snipemount.ports.platform import Found, Kind
+
+HOLDER = -1
+TIMED_FAULTS = ["suspended", "cut_off", "lossy", "late", "no_candidate"]
+OTHER_FAULTS = ["down", "kill", "stop", "stand_back", "delete", "spoil"]
+FAULT = st.tuples(
+    st.integers(0, 40_000),
+    st.sampled_from(TIMED_FAULTS * 2 + OTHER_FAULTS),
+    st.sampled_from([HOLDER, HOLDER, 0, 1, 2, 3, 4]),
+    st.integers(50, 9000),
+)
+
+
+def inject(world, kind, target, span_ms):
+    """Begin a fault; return when the last effect of it is over."""
+    process = world.processes[target % len(world.processes)]
+    if target == HOLDER and world.holder:
+        process = world.holder
+    until_ms = world.now_ms + span_ms
+    match kind:
+        case "down":
+            world.down_until = until_ms
+        case "delete" | "spoil":
+            world.damage(None if kind == "delete" else {"holder": 7})
+        case "kill" | "stop":
+            world.restart(process, in_order=kind == "stop")
+        case "stand_back":
+            process.lease.stand_back("test")
+            return world.now_ms + 2 * LEASE_MS
+        case _:
+            setattr(process, f"{kind}_until", until_ms)
+    if kind == "late":
+        process.late_ms = 500 + span_ms / 2
+        return until_ms + process.late_ms
+    return until_ms
+
+
+@then("for any faults at most one of 2 to 5 daemons holds the duty, and soon one does")
+def step_any_faults(context):
+    @settings(max_examples=200)
+    @for_any(
+        st.lists(st.sampled_from([0.97, 1.0, 1.03]), min_size=2, max_size=5),
+        st.lists(FAULT, min_size=1, max_size=14),
+        st.integers(0, 1000),
+    )
+    def check(rates, faults, seed):
+        world = DutyWorld(rates, seed)
+        end_ms = 0.0
+        for at_ms, kind, target, span_ms in sorted(faults):
+            world.advance(at_ms - world.now_ms)
+            end_ms = max(end_ms, inject(world, kind, target, span_ms))
+        world.advance(end_ms - world.now_ms)
+        world.advance(3 * LEASE_MS)
+        assert world.holder, "no holder after three lease times without faults"
+
+    check()
+
+
+@given("{count:d} daemons, one of which holds the duty")
+def step_daemons(context, count):
+    context.world = DutyWorld([1.0] * count)
+    context.world.advance_while(lambda: context.world.confirmed == 0)
+    context.first = context.world.holder
+    context.fence = context.first.lease.fence
+
+
+@when("{span_ms:d} ms pass")
+def step_pass(context, span_ms):
+    context.world.advance(span_ms)
+
+
+@when("the holder is {fault} for {span_ms:d} ms from the moment of a write")
+def step_fault_in_write(context, fault, span_ms):
+    context.world.advance_while(lambda: not context.first.pending_calls)
+    inject(context.world, fault.replace(" ", "_"), HOLDER, span_ms)
+
+
+@when("the holder is {fault} for {span_ms:d} ms")
+def step_fault(context, fault, span_ms):
+    inject(context.world, fault.replace(" ", "_"), HOLDER, span_ms)
+
+
+@when("the holder's process is replaced after {kind}")
+def step_restart(context, kind):
+    context.first = context.world.restart(context.first, in_order=kind == "a stop")
+
+
+@when("another writer spoils the object")
+def step_spoil(context):
+    inject(context.world, "spoil", HOLDER, 0)
+
+
+@then("after {span_ms:d} ms the duty has passed on with a greater fencing token")
+def step_passed(context, span_ms):
+    context.world.advance(span_ms)
+    holder = context.world.holder
+    assert holder and holder is not context.first, holder
+    assert holder.lease.fence > context.fence
+
+
+@then("the same daemon holds it with a greater fencing token")
+def step_same(context):
+    assert context.world.holder is context.first
+    assert context.first.lease.fence > context.fence
+
+
+@then("the first holder has stopped, and its last save was not confirmed")
+def step_stopped(context):
+    lease = context.first.lease
+    assert (lease.remaining_ms(), lease.fence, lease.is_held) == (0.0, 0, False)
+    assert context.first.save_results[-1] is False, context.first.save_results
+
+
+@then("nobody held it for at least {span_ms:d} ms")
+def step_pause(context, span_ms):
+    terms = context.world.terms
+    assert len(terms) >= 2, terms
+    assert terms[-1][1] - terms[-2][2] >= span_ms, terms
+
+
+@then("the event {event} was logged with {field} {value}")
+def step_logged(context, event, field, value):
+    logged = [fields for name, fields in context.world.events if name == event]
+    assert any(str(fields.get(field)) == value for fields in logged), logged
+
+
+@when("no daemon is a candidate")
+def step_no_candidates(context):
+    for process in context.world.processes:
+        process.no_candidate_until = 60_000
+
+
+@when("the store refuses all calls")
+def step_refuses(context):
+    context.world.down_until = 60_000
+    for process in context.world.processes:
+        process.timeout_ms = 10.0
+
+
+@given("a daemon whose write that acquires the lease gets no response")
+def step_lost_acquisition(context):
+    context.world = world = DutyWorld([1.0, 1.0])
+    context.first, other = world.processes
+    other.no_candidate_until = 60_000
+
+    def stored():
+        result = world.store.read(Kind.DUTY_LEASE, DUTY)
+        return result.stored if isinstance(result, Found) else None
+
+    world.advance_while(lambda: not stored())
+    context.first.lossy_until = 60_000
+    world.advance_while(lambda: not stored().spec["holder"])
+    context.first.lossy_until = 0.0
+    context.fence = stored().version
+
+
+@then("it is not the holder while it does not know")
+def step_unknown(context):
+    assert context.first.pending_calls == 1
+    assert context.world.holder is None
+
+
+@then("in {span_ms:d} ms {who} makes {least:d} to {most:d} calls")
+def step_calls(context, span_ms, who, least, most):
+    before = {process: process.calls for process in context.world.processes}
+    context.world.advance(span_ms)
+    for process, calls in before.items():
+        is_first = process is context.first
+        if who == "each daemon" or is_first == (who == "the first holder"):
+            assert least <= process.calls - calls <= most, (process.name, calls)
