--- a/tests/steps/duty_steps.py
+++ b/tests/steps/duty_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from duty_world import DUTY, LEASE_MS, DutyWorld
+from duty_world import DUTY, FAST_MS, LEASE_MS, DutyWorld
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -12,7 +12,7 @@
 
 HOLDER = -1
 SLOWEST_MS = 1500.0
-TIMED_FAULTS = ["suspended", "cut_off", "lossy", "late", "slow", "no_candidate"]
+TIMED_FAULTS = ["suspended", "cut_off", "lossy", "late", "no_candidate"]
 OTHER_FAULTS = ["down", "kill", "stop", "stand_back", "delete", "spoil"]
 FAULT = st.tuples(
     st.integers(0, 4000),
@@ -21,6 +21,11 @@
     st.integers(50, 7000),
 )
 
+PROCESS = st.tuples(
+    st.sampled_from([0.95, 1.05]),  # rate of its clock
+    st.sampled_from([FAST_MS, FAST_MS, (1000.0, 2.0), (2.0, 1000.0)]),
+)
+
 
 def inject(world, kind, target, span_ms):
     """Begin a fault; return when the last effect of it is over."""
@@ -40,7 +45,6 @@
             return world.now_ms + 2 * LEASE_MS
         case _:
             setattr(process, f"{kind}_until", until_ms)
-    process.slow_ms = span_ms % process.timeout_ms
     if kind == "late":
         process.late_ms = 500 + span_ms / 2
         return until_ms + process.late_ms
@@ -51,12 +55,12 @@
 def step_any_faults(context):
     @settings(max_examples=200)
     @for_any(
-        st.lists(st.sampled_from([0.95, 1.0, 1.05]), min_size=2, max_size=5),
+        st.lists(PROCESS, min_size=2, max_size=5),
         st.lists(FAULT, min_size=3, max_size=15),
         st.integers(0, 1000),
     )
-    def check(rates, faults, seed):
-        world = DutyWorld(rates, seed)
+    def check(kinds, faults, seed):
+        world = DutyWorld(kinds, seed)
         end_ms = 0.0
         for pause_ms, kind, target, span_ms in faults:
             world.advance(pause_ms)
@@ -70,7 +74,7 @@
 
 @given("{count:d} daemons, one of which holds the duty")
 def step_daemons(context, count):
-    context.world = DutyWorld([1.0] * count)
+    context.world = DutyWorld([(1.0, FAST_MS)] * count)
     context.world.advance_while(lambda: context.world.confirmed == 0)
     context.first = context.world.holder
     context.fence = context.first.lease.fence
@@ -151,7 +155,7 @@
 
 @given("a daemon whose write that acquires the lease gets no response")
 def step_lost_acquisition(context):
-    context.world = world = DutyWorld([1.0, 1.0])
+    context.world = world = DutyWorld([(1.0, FAST_MS)] * 2)
     context.first, other = world.processes
     other.no_candidate_until = 60_000
 
--- a/tests/steps/duty_world.py
+++ b/tests/steps/duty_world.py
@@ -12,7 +12,7 @@
 
 LEASE_MS = 3000
 STEP_MS = 10.0
-ONE_WAY_MS = 2.0
+FAST_MS = (2.0, 2.0)
 SAVE_PERIOD_MS = 700.0
 DUTY = "usage_report"
 
@@ -20,16 +20,18 @@
 class Process(LeaseObserver, PlatformPort):
     """A process of a daemon: its clock, its path to the store, and the duty it does.
 
-    Attributes set to a true time are faults that last until then.
+    Attributes set to a true time are faults that last until then. `slow_ms` is the time
+    that the store takes to get a request, and that its response takes.
     """
 
-    def __init__(self, world, name, rate):
+    def __init__(self, world, name, rate, slow_ms):
         self.world, self.name, self.rate = world, name, rate
+        self.slow_ms = slow_ms
         self.timers = VirtualTimers()
         self.random = Random(world.random.random())
         self.suspended_until = self.cut_off_until = 0.0
         self.lossy_until = self.late_until = self.late_ms = 0.0  # for writes
-        self.no_candidate_until = self.slow_until = self.slow_ms = 0.0
+        self.no_candidate_until = 0.0
         self.timeout_ms = 1500.0
         self.calls = self.pending_calls = 0
         self.saved, self.save_results, self.is_saving = 0, [], False
@@ -64,18 +66,17 @@
             return None if self.world.now_ms < self.lossy_until else result
 
         is_late = self.world.now_ms < self.late_until
-        self._call(operation, done, self.late_ms if is_late else ONE_WAY_MS)
+        self._call(operation, done, self.late_ms if is_late else 0.0)
 
     def list_all(self, kind, done, may_be_stale=False):
         raise AssertionError("a lease lists nothing")
 
     watch = write_status = list_all
 
-    def _call(self, operation, done, delay_ms=ONE_WAY_MS):
+    def _call(self, operation, done, late_ms=0.0):
         assert self.may_stand() or self.lease.is_held, "call of a daemon not standing"
         assert self.pending_calls == 0, "two calls at once"
-        slow_ms = self.slow_ms if self.world.now_ms < self.slow_until else 0.0
-        slow_there_ms = slow_ms * self.world.random.choice([0.0, 0.5, 1.0])
+        there_ms, back_ms = self.slow_ms
         self.calls += 1
         self.pending_calls += 1
         is_pending = [True]
@@ -93,7 +94,6 @@
         def arrive():
             if not is_cut_off():
                 result = operation()
-                back_ms = ONE_WAY_MS + slow_ms - slow_there_ms
                 self.world.timers.call_later(back_ms, lambda: respond(result))
 
         def respond(result):
@@ -101,7 +101,7 @@
                 self.timers.call_soon(lambda: finish(result))
 
         self.timers.call_later(self.timeout_ms, lambda: finish(Failed("timeout")))
-        self.world.timers.call_later(delay_ms + slow_there_ms, arrive)
+        self.world.timers.call_later(late_ms + there_ms, arrive)
 
     def on_acquired(self, fence, checkpoint):
         assert self.lease.fence == fence > self.world.last_fence
@@ -133,7 +133,7 @@
 class DutyWorld:
     """True time, the store, the processes, and what must hold at every moment."""
 
-    def __init__(self, rates, seed=0):
+    def __init__(self, kinds, seed=0):
         self.random = Random(seed)
         self.timers = VirtualTimers()
         self.store = ObjectStore()
@@ -144,7 +144,7 @@
         self.events = []
         self.processes, self.frozen = [], []
         self.processes += [
-            Process(self, f"d{number}", rate) for number, rate in enumerate(rates)
+            Process(self, f"d{number}", *kind) for number, kind in enumerate(kinds)
         ]
 
     def bind(self, **fields):
@@ -193,7 +193,9 @@
             process.lease.stop()
         self.frozen.append(process)
         number = self.processes.index(process)
-        self.processes[number] = Process(self, process.name, process.rate)
+        self.processes[number] = Process(
+            self, process.name, process.rate, process.slow_ms
+        )
         return self.processes[number]
 
     def damage(self, spec):
@@ -222,4 +224,4 @@
             assert self.now_ms - ends[-1] >= LEASE_MS, (holder.name, ends)
 
 
-__all__ = ["DUTY", "LEASE_MS", "DutyWorld"]
+__all__ = ["DUTY", "FAST_MS", "LEASE_MS", "DutyWorld"]
