An old state is listed, not watched, so that a store without watches delays nobody

Cause: after a watch timed out or a relay was lost, a daemon asked the store by another watch. A store that is about to drop its history answers no watch for a second, not even one that need not wait, but answers listings. Where watches hear nothing for 4.5 s, a configuration was in force nowhere within the operators' bound.

Change: kinds of at most 50 objects, one page, are listed when their state is at the age at which the first in line reads it.

--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -36,6 +36,8 @@
 FIRST_BACKOFF_MS = 150.0
 JITTER_RATIO = 0.4
 FAILURES_UNTIL_LOST = 2
+# A listing of so many objects is one call, as a watch is.
+MAX_OBJECTS_LISTED = 50
 
 
 class Subscriber(Protocol):
@@ -289,11 +291,27 @@
 
     def _poll(self) -> None:
         """Watch, with a first call that the store answers without waiting."""
-        self._watch(math.inf)
+        if self._needs_listing:
+            self._list()
+        else:
+            self._watch(math.inf)
 
     def _watch_at_first(self) -> None:
         """Watch after the loss of a relay; the store answers an old state at once."""
-        self._watch(max(self.age_ms, self.age_limits.probe_age_ms))
+        if self._needs_listing:
+            self._list()
+        else:
+            self._watch(max(self.age_ms, self.age_limits.probe_age_ms))
+
+    @property
+    def _needs_listing(self) -> bool:
+        """Whether an old state is listed rather than watched.
+
+        A store that is about to drop its history may answer no watch, not even one that
+        need not wait, and the state would get too old meanwhile.
+        """
+        age_limit_ms = self.age_limits.age_limit_ms(first_in_line=True)
+        return len(self._objects) <= MAX_OBJECTS_LISTED and self.age_ms >= age_limit_ms
 
     def _watch(self, age_ms: float | None = None) -> None:
         epoch = self._epoch
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -311,6 +311,29 @@
       | 6     |
       | 24    |
 
+  # The daemon that is followed asked again by a watch, which heard nothing either; all that
+  # followed it gave its state up and called the store for all kinds.
+  Scenario Outline: Watches of configurations hear nothing for <silent> s, then the history is gone
+    Given <count> daemons in 2 zones, fed by one store, whose configurations and leafs may be <bound> ms behind
+    When <after> s pass for them
+    And the calls of each daemon are counted from now on
+    And configurations' watches hear nothing for <silent> s, then the history is gone
+    And the operators write version 7
+    And <within> s pass for them
+    Then all daemons have version 7 in force
+    When 4 s pass for them
+    Then the daemons have called the store at most 60 times but for the registry
+
+    Examples:
+      | count | bound | after | silent | within |
+      | 6     | 5000  | 5     | 4.5    | 4.5    |
+      | 58    | 5000  | 5     | 4.5    | 4.5    |
+      | 58    | 5000  | 6.1   | 4.5    | 4.5    |
+      | 58    | 5000  | 7.3   | 4.5    | 4.5    |
+      | 58    | 5000  | 5     | 3.2    | 4.5    |
+      | 58    | 3000  | 5     | 2.6    | 2.9    |
+      | 58    | 3000  | 6.4   | 2.6    | 2.9    |
+
   # Each call is charged for, also those that fail: all daemons retried all kinds.
   Scenario: While the store is away few calls are made, and all know soon that it is back
     Given 60 daemons in 3 zones, fed by one store
--- a/tests/steps/feed_call_steps.py
+++ b/tests/steps/feed_call_steps.py
@@ -8,6 +8,7 @@
 from feed_steps import add_daemon, followed_in, would_send
 
 from snipemount.model.relay import RelayConfirmation
+from snipemount.platform.store_client import NO_WAIT_MS, WATCH_TIMEOUT_SLACK_MS
 from snipemount.ports.platform import Failed, Kind, Watch
 
 
@@ -110,6 +111,48 @@
         feed._on_event(Failed("ServerDisconnectedError"))
 
 
+@when(
+    "configurations' watches hear nothing for {silent_s:g} s, then the history is gone"
+)
+def step_watches_hear_nothing(context, silent_s):
+    timers = context.timers
+    end_ms = timers.now_ms() + silent_s * 1000.0
+    for daemon in context.fed:
+        silence_watches(context, daemon, end_ms)
+
+    def drop_history():
+        context.store.put(Kind.LEAF, "leaf-3", {"zone": "zone-a", "draining": False})
+        context.store.compact()
+
+    timers.call_later(end_ms - timers.now_ms(), drop_history)
+
+
+def silence_watches(context, daemon, end_ms):
+    """Let watches of configurations hear nothing until a time, as if never answered."""
+    timers, watch = context.timers, daemon.platform.watch
+    longest_ms = context.age_limits[Kind.CONFIGURATION].watch_wait_ms
+
+    def time_out(on_event, state_age_ms):
+        wait_ms = longest_ms - state_age_ms
+        if state_age_ms > longest_ms:
+            wait_ms = NO_WAIT_MS
+        timeout_ms = max(wait_ms, NO_WAIT_MS) + WATCH_TIMEOUT_SLACK_MS
+        failed = Failed("TimeoutError")
+        timer = timers.call_later(timeout_ms, lambda: on_event(failed))
+        return Watch(timer.cancel)
+
+    def watch_or_time_out(kind, version, on_event, state_age_ms=0.0):
+        if kind is not Kind.CONFIGURATION or timers.now_ms() >= end_ms:
+            return watch(kind, version, on_event, state_age_ms)
+        return time_out(on_event, state_age_ms)
+
+    daemon.platform.watch = watch_or_time_out
+    feed = daemon.feed._kinds[Kind.CONFIGURATION]
+    if feed._active_watch is not None:
+        feed._active_watch.cancel()
+        feed._active_watch = time_out(feed._on_event, feed.age_ms)
+
+
 @when("the entry of {name} is removed")
 def step_entry_removed(context, name):
     context.store.delete(Kind.LEAF, name)
