Steps of the duty's lease have a name of their own

The step for whole milliseconds took over the one of the serving tests, which takes fractions: 8 scenarios of single.feature failed with both.

--- a/tests/steps/duty_steps.py
+++ b/tests/steps/duty_steps.py
@@ -80,7 +80,7 @@
     context.fence = context.first.lease.fence
 
 
-@when("{span_ms:d} ms pass")
+@when("{span_ms:d} ms pass for the candidates")
 def step_pass(context, span_ms):
     context.world.advance(span_ms)
 
