--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -6,7 +6,11 @@
 
 import attrs
 
+from .identity import CallerIdentity, Unchecked
+
 Headers = tuple[tuple[str, str], ...]
+# Position among all headers, name and value.
+PlacedHeaders = tuple[tuple[int, str, str], ...]
 
 
 @attrs.frozen(eq=False)
@@ -24,12 +28,19 @@
     host : str
         Value of the Host header.
     headers : Headers
-        End-to-end headers, which are forwarded.
+        End-to-end headers, which are forwarded, without `identity_headers`.
     body : bytes
         Complete body.
     deadline_ms : float or None
         Time that the caller waits, counted from the arrival of the request; None
         when the caller states none.
+    api_key : str
+        Key that the caller sent; empty if it sent none.
+    identity_headers : PlacedHeaders
+        Headers by which the caller states who it is; they are forwarded only while
+        its identity is `Unchecked`, each at its position among all headers.
+    caller : CallerIdentity
+        Whom the request belongs to.
     """
 
     request_id: str
@@ -39,12 +50,35 @@
     headers: Headers
     body: bytes
     deadline_ms: float | None
+    api_key: str = attrs.field(default="", repr=False)
+    identity_headers: PlacedHeaders = attrs.field(default=(), repr=False)
+    caller: CallerIdentity = Unchecked()
 
     @property
     def path(self) -> str:
         """Request target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def forwarded_headers(self) -> Headers:
+        """Headers of the caller that a leaf gets, in the caller's order."""
+        if not self.identity_headers or not isinstance(self.caller, Unchecked):
+            return self.headers
+        headers = list(self.headers)
+        for position, name, value in self.identity_headers:
+            headers.insert(position, (name, value))
+        return tuple(headers)
+
+    def identified(self, caller: CallerIdentity) -> ForwardRequest:
+        """Return the request with its caller's identity.
+
+        Unless this is `Unchecked`, the result lacks the key and what else the caller
+        stated about itself.
+        """
+        if isinstance(caller, Unchecked):
+            return self
+        return attrs.evolve(self, caller=caller, api_key="", identity_headers=())
+
 
 @attrs.frozen
 class LeafAnswer:
@@ -128,11 +162,15 @@
         Number of requests that waited for a slot.
     slots : int
         Maximum number of requests that it runs at the same time.
+    work_ratio : float or None
+        How long work takes on its VM at this moment, relative to usual; None if the
+        leaf does not state it.
     """
 
     running: int
     waiting: int
     slots: int
+    work_ratio: float | None = None
 
 
 class RefusalReason(Enum):
@@ -143,6 +181,7 @@
     LEAF_LIMITS = "leaf_limits"
     ALL_REFUSED = "all_refused"
     STOPPING = "stopping"
+    OVERLOADED = "overloaded"
 
 
 class FailureReason(Enum):
@@ -208,7 +247,14 @@
     """No route of the configuration in force matches the request."""
 
 
-RequestOutcome = Forwarded | Merged | RequestRefused | RequestFailed | UnknownRoute
+@attrs.frozen
+class Unauthorized:
+    """The request bears no key of an organisation, and its route is not public."""
+
+
+RequestOutcome = (
+    Forwarded | Merged | RequestRefused | RequestFailed | UnknownRoute | Unauthorized
+)
 
 __all__ = [
     "NOT_ARRIVED_REASONS",
@@ -224,9 +270,11 @@
     "NoValidResponseReason",
     "NotRun",
     "NotRunReason",
+    "PlacedHeaders",
     "RefusalReason",
     "RequestFailed",
     "RequestOutcome",
     "RequestRefused",
+    "Unauthorized",
     "UnknownRoute",
 ]
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -5,9 +5,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..decisions.answer_timing import LAG_FACTOR, RouteTiming
-from ..decisions.route_table import RouteTable
-from ..decisions.weighted_round_robin import WeightedRoundRobin
+from ..decisions.query.answer_timing import LAG_FACTOR, RouteTiming
+from ..decisions.requests.route_table import RouteTable
+from ..decisions.requests.weighted_round_robin import WeightedRoundRobin
+from ..identity.authenticator import Authenticator
 from ..model.configuration import (
     CallerLimits,
     ToAllShards,
@@ -19,9 +20,12 @@
     RefusalReason,
     RequestFailed,
     RequestRefused,
+    Unauthorized,
     UnknownRoute,
 )
+from ..model.identity import OfOrganisation, Unchecked
 from .context import RETRY_AFTER_MS
+from .counted_run import CountedRun
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
 from .request_log import EndedRequest
@@ -36,6 +40,7 @@
     from ..model.forwarding import ForwardRequest, RequestOutcome
     from .context import ServingContext
     from .coordinator_links import CoordinatorLinks
+    from .counted_run import RequestCounter
     from .request_log import RequestLog
     from .run import Run
 
@@ -68,6 +73,8 @@
         Monotonic time of the last request that had a route; -inf before the first.
     shards : frozenset of str
         Services that configured queries ask as shards.
+    request_counter : RequestCounter or None
+        Counts the requests of organisations; None if they are not counted.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         self._context = context
         self.coordinators = coordinators
         self._log = log
+        self._authenticator = Authenticator()
         self._routes: RouteTable | None = None
         self._previous_routes: RouteTable | None = None
         self._previous_version = 0
@@ -87,6 +95,7 @@
         self.configuration: Configuration | None = None
         self.last_request_ms = -math.inf
         self.shards: frozenset[str] = frozenset()
+        self.request_counter: RequestCounter | None = None
 
     @property
     def limits(self) -> CallerLimits:
@@ -131,6 +140,7 @@
         """
         if configuration.version <= self.version:
             return False
+        self._authenticator.put_in_force(configuration.organisations)
         self._previous_version, self._previous_routes = self.version, self._routes
         self._replaced_ms = self._context.timers.now_ms()
         self.configuration = configuration
@@ -162,19 +172,40 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._end_immediately(request, UnknownRoute(), done)
+        caller = self._authenticator.identify(route, request.api_key)
+        if isinstance(caller, Unauthorized):
+            return self._end_immediately(request, caller, done, route)
+        request = request.identified(caller)
         started_ms = self._context.timers.now_ms()
         self.last_request_ms = started_ms
         end_ms = started_ms + self._time_left_ms(route, request)
-        return self._start(
-            route,
-            request,
-            done,
-            lambda on_ended: self._make_run(route, request, end_ms, on_ended),
+
+        def start(done: Callable[[RequestOutcome], None]) -> Run:
+            return self._start(
+                route,
+                request,
+                done,
+                lambda on_ended: self._make_run(route, request, end_ms, on_ended),
+            )
+
+        caller = request.caller
+        if self.request_counter is None or not isinstance(caller, OfOrganisation):
+            return start(done)
+        counted = CountedRun(
+            self.request_counter, caller.name, self._context.timers, done
         )
+        return counted.follow(start(counted.finish))
 
-    def has_routes_of(self, version: int) -> bool:
-        """Return whether a delegated query of a configuration's version may run."""
-        return self._routes_of(version) is not None
+    def may_run(self, query: DelegatedQuery) -> bool:
+        """Return whether a delegated query fits the configuration in force.
+
+        The identity of its caller is never checked again, but a query whose caller was
+        not identified at all does not run where callers need keys.
+        """
+        unchecked = isinstance(query.request.caller, Unchecked)
+        if unchecked and self._authenticator.requires_keys:
+            return False
+        return self._routes_of(query.version) is not None
 
     def _routes_of(self, version: int) -> RouteTable | None:
         if version == self.version:
@@ -240,9 +271,10 @@
         request: ForwardRequest,
         outcome: RequestOutcome,
         done: Callable[[RequestOutcome], None],
+        route: Route | None = None,
     ) -> Run:
         now_ms = self._context.timers.now_ms()
-        self._log.record(EndedRequest(request, None, self.version, outcome), now_ms)
+        self._log.record(EndedRequest(request, route, self.version, outcome), now_ms)
         done(outcome)
         return EndedRun()
 
--- a/src/snipemount/serving/run.py
+++ b/src/snipemount/serving/run.py
@@ -56,6 +56,14 @@
         """Return the stages of a query over all shards; None for other requests."""
         return None
 
+    def began_ms(self) -> float | None:
+        """Return the monotonic time of the first attempt.
+
+        None while it is certain that no leaf has run the request. Not known any more
+        once the run has ended or was cancelled.
+        """
+        return None
+
     def delegations(self) -> str:
         """Return the coordinators that were asked, for the log; empty if none was."""
         return ""
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.zone_reachability import UNRESPONSIVE_AFTER_MS, is_response
+from ..decisions.fleet.zone_reachability import UNRESPONSIVE_AFTER_MS, is_response
 from ..model.forwarding import (
     NOT_ARRIVED_REASONS,
     LeafAnswer,
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.leaf_state import LeafState
+    from ..decisions.leafs.leaf_state import LeafState
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest
     from ..ports.leaf import AttemptReport
@@ -258,6 +258,7 @@
         self._possible_arrivals += 1
         attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
         self._pending.append(attempt)
+        self.records.note_sent(now_ms)
         if state.limit is not None:
             self._context.metrics.limited_attempt(len(self._tried_leafs) > 1)
         attempt.handle = self._context.leafs.send(
