--- a/src/snipemount/duties/lease.py
+++ b/src/snipemount/duties/lease.py
@@ -6,7 +6,7 @@
 from copy import deepcopy
 from typing import TYPE_CHECKING, Any
 
-from ..ports.platform import Kind
+from ..ports.platform import Failed, Kind
 from .election import LeaseElection
 from .events import (
     EndSave,
@@ -40,6 +40,9 @@
 # Shortest delay until a future time, so that rounding cannot make a timer fire for ever
 # just before it.
 MIN_DELAY_MS = 1.0
+# Of running time, until a call without a result counts as failed: one is lost when the
+# client fails unexpectedly. Beyond the timeout of any call that is useful for a lease.
+MAX_CALL_LEASES = 2
 
 
 class DutyLease:
@@ -228,13 +231,20 @@
                 self._logger.warning("duty_lease_unreadable", version=version)
 
     def _receiver(self, event_type: Callable[[Any], Event]) -> Callable[[Any], None]:
-        """Return a receiver of a call's result, which is ignored after a stop."""
+        """Return a receiver of a call's only result; after a stop it does nothing."""
         election = self._election
+        is_pending = True
 
         def receive(result: Any) -> None:
-            if self._election is election:
+            nonlocal is_pending
+            if is_pending and self._election is election:
+                is_pending = False
+                limit.cancel()
                 self._handle(event_type(result))
 
+        limit = self._timers.call_later(
+            MAX_CALL_LEASES * self._lease_ms, lambda: receive(Failed("no result"))
+        )
         return receive
 
 
--- a/tests/duties/lease.feature
+++ b/tests/duties/lease.feature
@@ -84,3 +84,10 @@
   # seen the object at its end, the last one at its start.
   Scenario: Slow reads do not shorten the wait for the expiry
     Then reads of 3000 ms show the expiry only 3750 ms after the first one
+
+  # Guards against a daemon that is never a candidate again after a fault of its client.
+  Scenario: A call that never ends does not end the duty
+    Given 1 daemons, one of which holds the duty
+    When a call of the holder never ends
+    And 9000 ms pass
+    Then the same daemon holds it with a greater fencing token
--- a/tests/steps/duty_steps.py
+++ b/tests/steps/duty_steps.py
@@ -112,6 +112,14 @@
     inject(context.world, fault.replace(" ", "_"), HOLDER, span_ms)
 
 
+@when("a call of the holder never ends")
+def step_lost_call(context):
+    context.first.timeout_ms = 1e9
+    step_fault_in_write(context, "cut off", 20)
+    context.world.advance(50)
+    context.first.pending_calls, context.first.timeout_ms = 0, 1500.0
+
+
 @when("the holder's process is replaced after {kind}")
 def step_restart(context, kind):
     context.first = context.world.restart(context.first, in_order=kind == "a stop")
