Learnt capacity of leafs: speed, limit, placement by finish time, shared estimates

Leafs that state the fourth load figure are chosen by expected finish time, between a leaf of the own zone and a random other one; all others as before.

--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -9,6 +9,7 @@
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..finite import finite_number
 from ..model.relay import (
+    LeafEstimate,
     RelayChange,
     RelayConfirmation,
     RelayEvidence,
@@ -29,6 +30,11 @@
 HEARTBEAT = 5
 EVIDENCE = 6
 BATCH = 7
+# Estimates are sent as whole percent and tenths.
+PER_RATIO = 100.0
+PER_LIMIT = 10.0
+MAX_SERVICE_RATIO = 1000.0
+MAX_LIMIT = 100_000.0
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -73,8 +79,8 @@
             return [STORE_LOST, reason]
         case RelayHeartbeat():
             return [HEARTBEAT]
-        case RelayEvidence(leafs):
-            return [EVIDENCE, [[leaf.leaf_id, leaf.slowness] for leaf in leafs]]
+        case RelayEvidence():
+            return [EVIDENCE, _encode_evidence(message)]
 
 
 def decode_relay(frame: bytes) -> RelayMessage:
@@ -113,12 +119,44 @@
         case [5]:
             return RelayHeartbeat()
         case [6, leafs]:
-            return RelayEvidence(
-                tuple(SlowLeaf(str(leaf_id), finite_number(x)) for leaf_id, x in leafs)
-            )
+            return _decode_evidence(leafs)
     raise ValueError("unknown message type or wrong number of fields")
 
 
+def _encode_evidence(evidence: RelayEvidence) -> list[Any]:
+    """Return pairs, of which a build that knows only slow leafs ignores the others.
+
+    It reads the first field of a pair as an id, and no leaf has that of an estimate.
+    """
+    pairs: list[Any] = [[leaf.leaf_id, leaf.slowness] for leaf in evidence.leafs]
+    for leaf in evidence.estimates:
+        ratio = round(leaf.service_ratio * PER_RATIO)
+        pairs.append([[leaf.leaf_id, ratio, round(leaf.limit * PER_LIMIT)], 0])
+    return pairs
+
+
+def _decode_evidence(pairs: list[Any]) -> RelayEvidence:
+    leafs = []
+    estimates = []
+    for key, value in pairs:
+        match key:
+            case [leaf_id, ratio, limit]:
+                estimates.append(_decode_estimate(leaf_id, ratio, limit))
+            case _:
+                leafs.append(SlowLeaf(str(key), finite_number(value)))
+    return RelayEvidence(tuple(leafs), tuple(estimates))
+
+
+def _decode_estimate(leaf_id: Any, ratio: Any, limit: Any) -> LeafEstimate:
+    service_ratio = finite_number(ratio) / PER_RATIO
+    if not 0.0 < service_ratio <= MAX_SERVICE_RATIO:
+        raise ValueError(f"service ratio {service_ratio} is out of range")
+    bounded_limit = finite_number(limit) / PER_LIMIT
+    if not 1.0 <= bounded_limit <= MAX_LIMIT:
+        raise ValueError(f"limit {bounded_limit} is out of range")
+    return LeafEstimate(str(leaf_id), service_ratio, bounded_limit)
+
+
 def _age_ms(value: Any) -> float:
     age_ms = finite_number(value)
     if age_ms < 0.0:
--- /dev/null
+++ b/src/snipemount/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Learnt capacity of leafs, and placement by expected finish time."""
--- a/src/snipemount/decisions/leafs/leaf_choice.py
+++ b/src/snipemount/decisions/leafs/leaf_choice.py
@@ -5,6 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
+from ...capacity.finish_time_choice import FinishTimeChoice
+from .leaf_penalties import with_penalties
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
     from random import Random
@@ -13,13 +16,6 @@
 
 # Costs are in multiples of the typical latency.
 OTHER_ZONE_COST = 0.8
-COLD_COST_FACTOR = 1.6
-STALL_RATIO = 2.5  # age of the oldest pending attempt to the typical latency
-FAILURE_COST = 8.0
-REFUSAL_COST = 4.0
-LOSS_COST = 4.0
-MAX_COUNTED_LOSSES = 3
-PAUSED_COST = 100.0
 MAX_TIE_BREAK_COST = 0.05
 PICKS_PER_EXPLORATION = 30
 MAX_TIE_BREAKS = 20_000  # bounds memory: leafs are replaced over time
@@ -41,6 +37,7 @@
         self._random = random
         self._tie_breaks: dict[str, float] = {}
         self._picks = 0
+        self._by_finish_time = FinishTimeChoice(zone, random, self.cost)
 
     def pick(
         self,
@@ -52,7 +49,8 @@
         """Return the leaf with the lowest cost, or None when all were tried.
 
         Now and then a first attempt goes to the best leaf of another zone (see
-        `_explores`).
+        `_explores`). If any leaf has a learnt capacity, the choice is by expected
+        finish time.
 
         Parameters
         ----------
@@ -65,6 +63,9 @@
         now_ms : float
             Current time.
         """
+        for state in states:
+            if state.capacity is not None:
+                return self._by_finish_time.pick(states, tried, expected_ms, now_ms)
         if not tried and self._explores():
             states = self._of_other_zones(states, now_ms) or states
         best: LeafState | None = None
@@ -112,17 +113,7 @@
         """Return the expected latency in multiples of the typical latency."""
         queued = state.load(now_ms) / state.leaf.slots
         cost = state.slowness(now_ms) * (1.0 + queued)
-        if state.is_cold(now_ms):
-            cost *= COLD_COST_FACTOR
-        stall_ratio = state.oldest_ms(now_ms) / expected_ms
-        if stall_ratio > STALL_RATIO:
-            cost += stall_ratio
-        cost += FAILURE_COST * state.failure_rate(now_ms)
-        cost += REFUSAL_COST * state.refusal_rate(now_ms)
-        if state.consecutive_losses:
-            cost += LOSS_COST * min(state.consecutive_losses, MAX_COUNTED_LOSSES)
-        if state.is_paused(now_ms):
-            cost += PAUSED_COST
+        cost = with_penalties(cost, state, expected_ms, now_ms)
         return cost + self._base_cost(state)
 
     def _tie_break(self, leaf_id: str) -> float:
--- a/src/snipemount/decisions/leafs/leaf_state.py
+++ b/src/snipemount/decisions/leafs/leaf_state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ...capacity.leaf_capacity import LeafCapacity
 from .cold_limit import ColdAttempts
 
 if TYPE_CHECKING:
@@ -94,6 +95,8 @@
         Attempts during the cold start, for the limit on them.
     statements : LeafStatements
         What this start of the leaf has stated about itself and still holds.
+    capacity : LeafCapacity or None
+        Learnt capacity, once the leaf has reported a work ratio.
     """
 
     def __init__(self, leaf: Leaf, now_ms: float) -> None:
@@ -115,6 +118,7 @@
         self.cold_until_ms = now_ms + leaf.cold_ms
         self.cold_attempts = ColdAttempts()
         self.statements = LeafStatements()
+        self.capacity: LeafCapacity | None = None
 
     @property
     def limit(self) -> LeafLimit | None:
@@ -130,6 +134,8 @@
         """Replace the entry by a newer one of the same start."""
         self.leaf = leaf
         self.cold_until_ms = now_ms + leaf.cold_ms
+        if self.capacity is not None:
+            self.capacity.slots = max(1, leaf.slots)
 
     def sent(self, now_ms: float) -> int:
         """Record the start of an attempt and return its number."""
@@ -139,6 +145,8 @@
         if self.limit is not None:
             self.limit.spend(now_ms)
         self._pending[number] = now_ms
+        if self.capacity is not None:
+            self.capacity.sent()
         return number
 
     def not_arrived(self) -> None:
@@ -159,7 +167,10 @@
             Current time.
         """
         sent_ms = self._pending.pop(number, now_ms)
-        self._update_slowness((now_ms - sent_ms) / expected_ms, now_ms)
+        ratio = (now_ms - sent_ms) / expected_ms
+        self._update_slowness(ratio, now_ms)
+        if self.capacity is not None:
+            self.capacity.answered(ratio, sent_ms, now_ms)
         self._update_failure_rate(0.0, now_ms)
         self._update_refusal_rate(0.0, now_ms)
         self._pause_ms = 0.0
@@ -205,6 +216,8 @@
         """
         sent_ms = self._pending.pop(number, now_ms)
         ratio = (now_ms - sent_ms) / expected_ms
+        if self.capacity is not None:
+            self.capacity.cancelled(ratio, sent_ms, now_ms)
         if ratio > max(1.0, self.slowness(now_ms)):
             self._update_slowness(ratio, now_ms)
             self._note_unreported(CANCELLED_LATENCY_FACTOR * ratio)
@@ -232,6 +245,10 @@
         """Record the load that the leaf reported, excluding the request reported on."""
         self._reported_load = max(0, load.running + load.waiting - 1)
         self._reported_load_at_ms = now_ms
+        if self.capacity is None and load.work_ratio is not None:
+            self.capacity = LeafCapacity(self.leaf.slots, now_ms)
+        if self.capacity is not None:
+            self.capacity.load_reported(load, now_ms)
 
     def slowness(self, now_ms: float) -> float:
         """Return the ratio of the latency to the typical latency, decaying to 1."""
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -41,6 +41,7 @@
 from .platform.store_client import StoreClient
 from .ports.platform import Kind
 from .ports.store_address import StoreAddress
+from .serving.capacity_watch import CapacityWatch
 from .serving.context import ServingContext
 from .serving.coordinator_links import CoordinatorLinks
 from .serving.delegated_queries import DelegatedQueries
@@ -138,6 +139,9 @@
             self._on_relay_message,
             self.logger,
         )
+        self._capacity_watch = CapacityWatch(
+            self._context.directory, self._timers, self.logger
+        )
         self._ready_connections = ReadyConnections(self._context, self.gateway)
         self._store_feed = StoreFeed(
             self._store,
@@ -202,6 +206,7 @@
         self._store_feed.start(own.first_start)
         self._coordinators.start()
         self._ready_connections.start()
+        self._capacity_watch.start()
         self._timers.call_every(LOG_FLUSH_PERIOD_MS, self._flush_log)
         self._timers.call_every(RELOAD_PERIOD_MS, self._reload)
         self._timers.call_every(ZONE_PROBE_PERIOD_MS, self._context.probe_zones)
@@ -266,6 +271,16 @@
             "Leafs that state a limit on requests.",
             lambda: context.directory.limited_count,
         )
+        gauge(
+            "leafs_below_slots",
+            "Leafs with a learnt limit under their slots.",
+            lambda: self._capacity_watch.limited_count,
+        )
+        gauge(
+            "slowest_leaf_ratio",
+            "Highest learnt service time of a leaf, relative to the typical latency.",
+            lambda: self._capacity_watch.slowest_ratio,
+        )
         gauge("daemons_known", "Registered daemons.", lambda: context.daemon_count)
         gauge(
             "zones_cut_off",
--- a/src/snipemount/model/relay.py
+++ b/src/snipemount/model/relay.py
@@ -81,11 +81,39 @@
     slowness: float
 
 
+@attrs.frozen
+class LeafEstimate:
+    """A leaf's capacity as one daemon has learnt it from its own attempts.
+
+    Parameters
+    ----------
+    leaf_id : str
+        Id of the leaf.
+    service_ratio : float
+        Service time relative to the typical latency.
+    limit : float
+        Number of requests that it handles well at a time.
+    """
+
+    leaf_id: str
+    service_ratio: float
+    limit: float
+
+
 @attrs.frozen
 class RelayEvidence:
-    """Slow leafs, as recently observed by one or more daemons."""
+    """What one or more daemons have recently observed of leafs.
+
+    Parameters
+    ----------
+    leafs : tuple of SlowLeaf
+        Slow leafs.
+    estimates : tuple of LeafEstimate
+        Leafs whose learnt capacity has changed.
+    """
 
     leafs: tuple[SlowLeaf, ...]
+    estimates: tuple[LeafEstimate, ...] = ()
 
 
 RelayMessage = (
@@ -99,6 +127,7 @@
 )
 
 __all__ = [
+    "LeafEstimate",
     "RelayChange",
     "RelayConfirmation",
     "RelayEvidence",
--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -39,6 +39,8 @@
 UNUSED_IDLE_LIMIT_MS = 8000.0
 MAX_IDLE_LIMIT_MS = 3_600_000.0
 MAX_LOAD = 100_000  # requests or slots of one leaf
+MAX_WORK_PERCENT = 100_000
+PERCENT = 100.0
 IDLE_LIMIT_SHARE = 0.8  # of the leaf's timeout, which is stated in whole seconds
 # Few are needed, because the legs of a query are sent one after the other.
 MAX_CACHED_HEADS = 8
@@ -312,15 +314,22 @@
     """Return the load in a response's header, or None if absent or malformed.
 
     A number that no leaf can mean is malformed: it would weigh on the choice of leafs.
+    The fourth figure, how long work takes in percent of usual, is optional.
     """
     fields = text.split(",")
+    if len(fields) not in (3, 4):
+        return None
     try:
-        running, waiting, slots = (int(field) for field in fields)
+        running, waiting, slots, *work = (int(field) for field in fields)
     except ValueError:
         return None
     if min(running, waiting, slots) < 0 or max(running, waiting, slots) > MAX_LOAD:
         return None
-    return LoadReport(running, waiting, slots)
+    if not work:
+        return LoadReport(running, waiting, slots)
+    if not 0 < work[0] <= MAX_WORK_PERCENT:
+        return None
+    return LoadReport(running, waiting, slots, work[0] / PERCENT)
 
 
 @lru_cache(maxsize=MAX_CACHED_IDLE_LIMITS)
--- a/src/snipemount/serving/leaf_evidence.py
+++ b/src/snipemount/serving/leaf_evidence.py
@@ -1,16 +1,19 @@
-"""Evidence of slow leafs that the daemons of a zone exchange."""
+"""Evidence on leafs that the daemons of a zone exchange."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from ..model.relay import SlowLeaf
+from ..model.relay import LeafEstimate, RelayEvidence, SlowLeaf
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
+    from ..decisions.leafs.leaf_state import LeafState
     from .context import ServingContext
 
+MAX_ESTIMATES = 64  # of one message
+# On average; bounds the bytes that a daemon sends for estimates to about 5 KB/s.
+MEAN_ESTIMATES = 20
+
 
 class LeafEvidence:
     """Collects this daemon's own observations and applies those of other daemons.
@@ -27,30 +30,67 @@
     def __init__(self, context: ServingContext) -> None:
         self._context = context
         self._forwarded: dict[str, float] = {}
+        self._forwarded_estimates: dict[str, LeafEstimate] = {}
+        self._allowed_estimates = MAX_ESTIMATES
 
-    def add_reported(self, leafs: Iterable[SlowLeaf]) -> None:
-        """Apply the slowness that another daemon reports; unknown leafs are ignored."""
+    def add_reported(self, evidence: RelayEvidence) -> None:
+        """Apply what another daemon reports; unknown leafs are ignored."""
         now_ms = self._context.timers.now_ms()
-        for leaf in leafs:
+        for leaf in evidence.leafs:
             state = self._context.directory.find(leaf.leaf_id)
             if state is not None:
                 state.slowness_reported(leaf.slowness, now_ms)
+        for estimate in evidence.estimates:
+            state = self._context.directory.find(estimate.leaf_id)
+            if state is not None and state.capacity is not None:
+                state.capacity.estimate_reported(
+                    estimate.service_ratio, estimate.limit, now_ms
+                )
 
-    def forward(self, leafs: Iterable[SlowLeaf]) -> None:
+    def forward(self, evidence: RelayEvidence) -> None:
         """Include what a follower reports in the next result of `take_unreported`."""
-        for leaf in leafs:
+        for leaf in evidence.leafs:
             reported = self._forwarded.get(leaf.leaf_id, 0.0)
             self._forwarded[leaf.leaf_id] = max(reported, leaf.slowness)
+        for estimate in evidence.estimates:
+            if self._context.directory.find(estimate.leaf_id) is not None:
+                self._forwarded_estimates[estimate.leaf_id] = estimate
+
+    def take_unreported(self) -> RelayEvidence | None:
+        """Return the evidence since the last call and clear it; None if there is none.
 
-    def take_unreported(self) -> tuple[SlowLeaf, ...]:
-        """Return the evidence since the last call, and clear it."""
+        Estimates beyond the bound wait for the next call.
+        """
         slow, self._forwarded = self._forwarded, {}
-        for state in self._context.directory.all_states():
+        states = self._context.directory.all_states()
+        for state in states:
             own_slowness = state.take_unreported_slowness()
             if own_slowness > 0.0:
                 leaf_id = state.leaf.leaf_id
                 slow[leaf_id] = max(slow.get(leaf_id, 0.0), own_slowness)
-        return tuple(SlowLeaf(leaf_id, slowness) for leaf_id, slowness in slow.items())
+        estimates = self._take_estimates(states)
+        if not slow and not estimates:
+            return None
+        leafs = (SlowLeaf(leaf_id, slowness) for leaf_id, slowness in slow.items())
+        return RelayEvidence(tuple(leafs), estimates)
+
+    def _take_estimates(self, states: list[LeafState]) -> tuple[LeafEstimate, ...]:
+        now_ms = self._context.timers.now_ms()
+        allowed = min(MAX_ESTIMATES, self._allowed_estimates + MEAN_ESTIMATES)
+        forwarded = self._forwarded_estimates
+        first_ids = list(forwarded)[:allowed]
+        taken = [forwarded.pop(leaf_id) for leaf_id in first_ids]
+        for state in states:
+            if len(taken) >= allowed:
+                break
+            capacity = state.capacity
+            if capacity is None or not capacity.unshared:
+                continue
+            changed = capacity.take_changed(now_ms)
+            if changed is not None:
+                taken.append(LeafEstimate(state.leaf.leaf_id, *changed))
+        self._allowed_estimates = allowed - len(taken)
+        return tuple(taken)
 
 
 __all__ = ["LeafEvidence"]
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -150,7 +150,7 @@
             self._kinds,
             own,
             context.timers,
-            lambda evidence: self._evidence.add_reported(evidence.leafs),
+            self._evidence.add_reported,
             retries,
             logger,
         )
@@ -210,8 +210,8 @@
     def on_follower_message(self, message: RelayMessage) -> None:
         """Apply evidence from a follower, and forward it with this daemon's own."""
         if isinstance(message, RelayEvidence):
-            self._evidence.add_reported(message.leafs)
-            self._evidence.forward(message.leafs)
+            self._evidence.add_reported(message)
+            self._evidence.forward(message)
 
     def _apply_offered(self, stored: StoredObject) -> None:
         """Apply a configuration from another daemon, and relay it to followers."""
@@ -220,13 +220,13 @@
         self._publish(change)
 
     def _send_evidence(self) -> None:
-        leafs = self._evidence.take_unreported()
-        if not leafs:
+        evidence = self._evidence.take_unreported()
+        if evidence is None:
             return
         if self.followed is None:
-            self._relay.publish(RelayEvidence(leafs))
+            self._relay.publish(evidence)
         else:
-            self._relay.report(RelayEvidence(leafs))
+            self._relay.report(evidence)
 
     def _publish(self, message: RelayMessage) -> None:
         if self.followed is None:
