--- a/src/snipemount/capacity/finish_time_choice.py
+++ b/src/snipemount/capacity/finish_time_choice.py
@@ -26,6 +26,7 @@
 # First attempts that go to the second leaf unless it is slow or busy. Without them the
 # daemon would have no times of leafs of other zones.
 EXPLORATION_SHARE = 1.0 / 30.0
+MAX_COST_WITHOUT_CAPACITY = 2.5  # a leaf of another zone without penalties has 1.9
 
 
 class FinishTimeChoice:
@@ -76,7 +77,9 @@
             return states[first]
         second = (first + 1 + int(draw)) % count
         second_cost = self._cost(states[second], expected_ms, now_ms)
-        if second_cost < cost or (explores and second_cost < COMPARE_ALL_COST):
+        if second_cost < cost or (
+            explores and second_cost < _max_explored_cost(states[second])
+        ):
             first, cost = second, second_cost
         if cost > COMPARE_ALL_COST and count > 2:
             return self._best(states, expected_ms, now_ms)
@@ -103,4 +106,8 @@
         return cost if state.leaf.zone == self._zone else cost + OTHER_ZONE_MARGIN
 
 
+def _max_explored_cost(state: LeafState) -> float:
+    return COMPARE_ALL_COST if state.capacity else MAX_COST_WITHOUT_CAPACITY
+
+
 __all__ = ["FinishTimeChoice"]
--- a/src/snipemount/capacity/leaf_capacity.py
+++ b/src/snipemount/capacity/leaf_capacity.py
@@ -29,8 +29,8 @@
 # A slow sample may be a pause of a quarter of a second; each one in a row that was sent
 # after the one before had ended makes a longer slowness more likely.
 SLOW_RATIO = 2.5
-RECENT_DECAY_MS = 1000.0
-MAX_SLOW_IN_A_ROW = 4
+RECENT_DECAY_MS = 2000.0
+MAX_SLOW_IN_A_ROW = 2
 LIMIT_WEIGHT = 0.2
 LIMIT_HEADROOM = 1.15  # latencies scatter
 MAX_LIMIT_RATIO = 3.0  # beyond it the leaf is slow or paused, whatever its load
--- a/tests/steps/capacity_model.py
+++ b/tests/steps/capacity_model.py
@@ -71,6 +71,7 @@
         self._order = count()
         self.legs: list[tuple[float, str, float]] = []  # sent, leaf, took
         self.other_zone = 0
+        self.refused = 0
         self.daemons = [
             self._make_daemon(zone, number)
             for zone in ZONES
@@ -175,6 +176,7 @@
     def _on_refused(self, leg: Leg, load: LoadReport) -> None:
         leg.state.load_reported(load, self.now_ms)
         leg.state.refused(leg.number, self.now_ms)
+        self.refused += 1
         self._send(leg)
 
     def _on_answer(self, leg: Leg, load: LoadReport) -> None:
