--- a/src/snipemount/capacity/finish_time_choice.py
+++ b/src/snipemount/capacity/finish_time_choice.py
@@ -77,9 +77,9 @@
             return states[first]
         second = (first + 1 + int(draw)) % count
         second_cost = self._cost(states[second], expected_ms, now_ms)
-        if second_cost < cost or (
-            explores and second_cost < _max_explored_cost(states[second])
-        ):
+        if explores and second_cost < _max_explored_cost(states[second]):
+            return states[second]
+        if second_cost < cost:
             first, cost = second, second_cost
         if cost > COMPARE_ALL_COST and count > 2:
             return self._best(states, expected_ms, now_ms)
--- a/src/snipemount/capacity/leaf_capacity.py
+++ b/src/snipemount/capacity/leaf_capacity.py
@@ -25,7 +25,6 @@
 USUAL_FALL_WEIGHT = 0.15
 USUAL_RISE_WEIGHT = 0.06
 MAX_USUAL_RISE = 1.6  # a pause must not pass as the usual speed
-USUAL_DECAY_MS = 60_000.0
 # A slow sample may be a pause of a quarter of a second; each one in a row that was sent
 # after the one before had ended makes a longer slowness more likely.
 SLOW_RATIO = 2.5
@@ -33,7 +32,8 @@
 MAX_SLOW_IN_A_ROW = 2
 LIMIT_WEIGHT = 0.2
 LIMIT_HEADROOM = 1.15  # latencies scatter
-MAX_LIMIT_RATIO = 3.0  # beyond it the leaf is slow or paused, whatever its load
+# Beyond it, for each request, the leaf is slow or paused whatever its load.
+MAX_SLOWDOWN = 1.5
 LIMIT_RECOVERY_MS = 8000.0
 MAX_QUEUEING = 8.0
 # A daemon gets a report of each leaf about once a second.
@@ -145,11 +145,12 @@
         limit = self._own_limit(now_ms)
         queueing = min(MAX_QUEUEING, max(1.0, requests / limit))
         sample = max(MIN_RATIO, ratio / queueing)
-        if requests >= 2.0 and ratio <= MAX_LIMIT_RATIO * self._usual:
+        if requests >= 2.0 and ratio <= MAX_SLOWDOWN * requests * self._usual:
             self._update_limit(limit, requests / ratio, now_ms)
         self._prior.compare(sample / self._usual, now_ms)
         self._update_recent(sample, queueing > 1.0, sent_ms, now_ms)
-        self._update_usual(sample, queueing > 1.0)
+        if queueing == 1.0:
+            self._update_usual(sample)
         self.unshared = True
 
     def cancelled(self, ratio: float, sent_ms: float, now_ms: float) -> None:
@@ -264,12 +265,10 @@
         self._recent_decay_ms = RECENT_DECAY_MS * confirmed
         self._observed_at_ms = now_ms
 
-    def _update_usual(self, sample: float, queued: bool) -> None:
-        if sample > self._usual:
-            bounded = min(sample, MAX_USUAL_RISE * self._usual)
-            self._usual += USUAL_RISE_WEIGHT * (bounded - self._usual)
-        elif not queued:
-            self._usual += USUAL_FALL_WEIGHT * (sample - self._usual)
+    def _update_usual(self, sample: float) -> None:
+        weight = USUAL_RISE_WEIGHT if sample > self._usual else USUAL_FALL_WEIGHT
+        bounded = min(sample, MAX_USUAL_RISE * self._usual)
+        self._usual += weight * (bounded - self._usual)
 
 
 def _changed(value: float, told: float) -> bool:
--- a/tests/capacity/placement.feature
+++ b/tests/capacity/placement.feature
@@ -18,10 +18,11 @@
     Then at most 75 % as many legs are late with learnt capacity
     And the largest queue is not longer with learnt capacity
 
-  # Guards against leaving a slow leaf late, and against leaving it for too long.
+  # Guards against leaving a slow leaf late, and against leaving it for too long. A run
+  # has one such time, and the late legs in it scatter by a factor of 5: hence 24 runs.
   Scenario: A leaf that is 10 times slower for 8 s
     Given 3 leafs with 2 slots, one of which is 10 times slower from second 20 to 28
-    When 9 legs a second and zone are sent with each choice
+    When 9 legs a second and zone are sent with each choice in 24 runs
     Then at most 100 % as many legs are late with learnt capacity
     And the slow leaf gets at most 10 % of the legs from second 22 to 28
     And it gets at least 20 % of the legs from second 30 to 34
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -153,6 +153,14 @@
       | 0,9999999,1  | none   |
       | 0,0,9999999  | none   |
       | 1,2          | none   |
+      | 2,3,4,130    | 2,3,4,1.3 |
+      | 2,3,4,1      | 2,3,4,0.01 |
+      | 2,3,4,0      | none   |
+      | 2,3,4,-1     | none   |
+      | 2,3,4,9999999 | none  |
+      | 2,3,4,1e999  | none   |
+      | 2,3,4,       | none   |
+      | 2,3,4,100,1  | none   |
 
   # The choice of a leaf raised, or chose none any more, for what one answer had stated.
   Scenario: Whatever a leaf states in the headers of an answer, requests are served
--- a/tests/steps/capacity_steps.py
+++ b/tests/steps/capacity_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from capacity_model import MAX_QUEUE, ZONES, ModelLeaf, QueueModel
 
-SEEDS = (1, 2, 3, 4, 5, 6)
+RUNS = 6  # with seeds from 1 on
 RUN_MS = 60_000.0
 START_MS = 5000.0
 NOISE = (0.6, 1.0, 1.4, 2.2, 0.9)
@@ -94,11 +94,11 @@
     set_leafs(context, slow, stated={0: lambda now_ms: percent})
 
 
-def play(context, legs_per_s):
+def play(context, legs_per_s, runs=RUNS):
     context.runs = {
         learns: [
             QueueModel(learns, context.make_leafs(), seed).run(RUN_MS, legs_per_s)
-            for seed in SEEDS
+            for seed in range(1, runs + 1)
         ]
         for learns in (False, True)
     }
@@ -109,6 +109,11 @@
     play(context, lambda zone, now_ms: per_s)
 
 
+@when("{per_s:g} legs a second and zone are sent with each choice in {runs:d} runs")
+def step_runs(context, per_s, runs):
+    play(context, lambda zone, now_ms: per_s, runs)
+
+
 @when(
     "{a:g}, {b:g} and {c:g} legs a second, falling to half within 13 s, "
     "are sent with each choice"
--- a/tests/steps/leaf_header_steps.py
+++ b/tests/steps/leaf_header_steps.py
@@ -59,6 +59,8 @@
     assert isinstance(report.outcome, LeafAnswer), report
     load = report.load
     text = "none" if load is None else f"{load.running},{load.waiting},{load.slots}"
+    if load is not None and load.work_ratio is not None:
+        text += f",{load.work_ratio:g}"
     assert text == read, report
 
 
@@ -81,12 +83,13 @@
         ]
     )
     numbers = digits | odd_numbers | st.integers().map(str)
-    loads = st.lists(numbers, max_size=4).map(",".join)
+    loads = st.lists(numbers, max_size=5).map(",".join)
     loop = asyncio.new_event_loop()
 
     @settings(deadline=None, max_examples=150)
     @for_any(loads, numbers, numbers, numbers, st.sampled_from([200, 503]))
     @example("9" * 400 + ",0,1", "1", "1", "9" * 400, 200)
+    @example("9,9,9,1", "1", "1", "1", 200)
     @example("0,0,1", "1.7e308", "1e308", "\xb2", 503)
     def check(load, limit, rest, keep, status):
         fields = [
