--- a/src/snipemount/capacity/leaf_capacity.py
+++ b/src/snipemount/capacity/leaf_capacity.py
@@ -25,6 +25,8 @@
 USUAL_FALL_WEIGHT = 0.15
 USUAL_RISE_WEIGHT = 0.06
 MAX_USUAL_RISE = 1.6  # a pause must not pass as the usual speed
+CONFIRMED_RISE_WEIGHT = 0.15
+MAX_CONFIRMED_RISE = 3.0
 # A slow sample may be a pause of a quarter of a second; each one in a row that was sent
 # after the one before had ended makes a longer slowness more likely.
 SLOW_RATIO = 2.5
@@ -266,9 +268,13 @@
         self._observed_at_ms = now_ms
 
     def _update_usual(self, sample: float) -> None:
-        weight = USUAL_RISE_WEIGHT if sample > self._usual else USUAL_FALL_WEIGHT
-        bounded = min(sample, MAX_USUAL_RISE * self._usual)
-        self._usual += weight * (bounded - self._usual)
+        if sample <= self._usual:
+            weight, bound = USUAL_FALL_WEIGHT, sample
+        elif self._slow_in_a_row < MAX_SLOW_IN_A_ROW:
+            weight, bound = USUAL_RISE_WEIGHT, MAX_USUAL_RISE * self._usual
+        else:
+            weight, bound = CONFIRMED_RISE_WEIGHT, MAX_CONFIRMED_RISE * self._usual
+        self._usual += weight * (min(sample, bound) - self._usual)
 
 
 def _changed(value: float, told: float) -> bool:
