Learnt capacity: lasting slowness is told again, and forgotten without answers

The usual speed of a leaf that nobody asks any more stayed slow for ever. It is at most 2.5 and decays with 20 s.

--- a/src/snipemount/capacity/leaf_capacity.py
+++ b/src/snipemount/capacity/leaf_capacity.py
@@ -27,10 +27,15 @@
 MAX_USUAL_RISE = 1.6  # a pause must not pass as the usual speed
 CONFIRMED_RISE_WEIGHT = 0.15
 MAX_CONFIRMED_RISE = 3.0
+# Without answers the usual speed is forgotten: a leaf that was slow is asked again.
+USUAL_HELD_MS = 1000.0
+USUAL_DECAY_MS = 20_000.0
+MAX_USUAL = 2.5  # slow enough to be avoided; more would only be forgotten later
 # A slow sample may be a pause of a quarter of a second; each one in a row that was sent
 # after the one before had ended makes a longer slowness more likely.
 SLOW_RATIO = 2.5
 RECENT_DECAY_MS = 2000.0
+NO_RECENT_AFTER = 5.0  # multiples of the decay time; the weight is then under 1 %
 MAX_SLOW_IN_A_ROW = 2
 LIMIT_WEIGHT = 0.2
 LIMIT_HEADROOM = 1.15  # latencies scatter
@@ -49,7 +54,7 @@
 # Cost of a leaf at its limit: busy leafs finish later on average than free ones.
 BUSY_COST = 0.25
 CHANGED_FACTOR = 1.2
-REPEAT_MS = 1000.0  # what was told has then lost half of its weight
+REPEAT_MS = 1000.0  # what was told has then lost a quarter of its weight
 
 
 class LeafCapacity:
@@ -141,6 +146,7 @@
             Current time.
         """
         ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
+        self._settle_usual(now_ms)
         requests = 1.0
         if self._reported_at_ms == now_ms:
             requests += self._reported_load
@@ -159,6 +165,7 @@
         """Record a cancelled attempt, whose age is a lower bound of its latency."""
         if ratio > max(1.0, self.service_ratio(now_ms)):
             bounded = min(MAX_RATIO, ratio)
+            self._settle_usual(now_ms)
             self._update_recent(bounded, False, sent_ms, now_ms)
             self.unshared = True
 
@@ -176,9 +183,13 @@
         """
         self.unshared = False
         ratio, limit = self._own_ratio(now_ms), self._own_limit(now_ms)
-        if not (_changed(ratio, self._told_ratio) or _changed(limit, self._told_limit)):
+        told_ratio, told_limit = self._told_ratio, self._told_limit
+        if now_ms - self._told_at_ms > REPEAT_MS:
+            told_ratio, told_limit = self._usual, float(self.slots)
+        if not (_changed(ratio, told_ratio) or _changed(limit, told_limit)):
             return None
         self._told_ratio, self._told_limit = ratio, limit
+        self._told_at_ms = now_ms
         return ratio, limit
 
     def service_ratio(self, now_ms: float) -> float:
@@ -230,11 +241,27 @@
         return self._mean_load * math.exp(-age_ms / MEAN_LOAD_DECAY_MS)
 
     def _own_ratio(self, now_ms: float) -> float:
-        if self._recent == self._usual:
-            return self._usual
+        if self._observed_at_ms == -math.inf:
+            return 1.0
         age_ms = now_ms - self._observed_at_ms
+        usual = self._usual_at(age_ms)
+        if age_ms > NO_RECENT_AFTER * self._recent_decay_ms:
+            return usual
         weight = math.exp(-age_ms / self._recent_decay_ms)
-        return self._usual + (self._recent - self._usual) * weight
+        return usual + (self._recent - self._usual) * weight
+
+    def _usual_at(self, age_ms: float) -> float:
+        if age_ms < USUAL_HELD_MS:
+            return self._usual
+        weight = math.exp((USUAL_HELD_MS - age_ms) / USUAL_DECAY_MS)
+        return 1.0 + (self._usual - 1.0) * weight
+
+    def _settle_usual(self, now_ms: float) -> None:
+        """Apply the decay of the usual speed since the last answer."""
+        recent = self._own_ratio(now_ms)
+        self._usual = self._usual_at(now_ms - self._observed_at_ms)
+        self._recent = recent
+        self._observed_at_ms = now_ms
 
     def _own_limit(self, now_ms: float) -> float:
         short = self.slots - self._limit
@@ -252,7 +279,7 @@
     def _update_recent(
         self, sample: float, queued: bool, sent_ms: float, now_ms: float
     ) -> None:
-        known = self._own_ratio(now_ms)
+        known = self._recent
         slow = sample > SLOW_RATIO * self._usual
         if not slow:
             self._slow_in_a_row = 0
@@ -265,7 +292,6 @@
             weight = RISE_WEIGHT * confirmed
         self._recent = known + weight * (sample - known)
         self._recent_decay_ms = RECENT_DECAY_MS * confirmed
-        self._observed_at_ms = now_ms
 
     def _update_usual(self, sample: float) -> None:
         if sample <= self._usual:
@@ -274,7 +300,8 @@
             weight, bound = USUAL_RISE_WEIGHT, MAX_USUAL_RISE * self._usual
         else:
             weight, bound = CONFIRMED_RISE_WEIGHT, MAX_CONFIRMED_RISE * self._usual
-        self._usual += weight * (min(sample, bound) - self._usual)
+        risen = self._usual + weight * (min(sample, bound) - self._usual)
+        self._usual = min(MAX_USUAL, risen)
 
 
 def _changed(value: float, told: float) -> bool:
--- a/tests/steps/learning_steps.py
+++ b/tests/steps/learning_steps.py
@@ -77,6 +77,44 @@
     assert state.capacity is None
 
 
+@then("{seconds:d} s later it counts as less than {ratio:g} times as slow as usual")
+def step_slowness_forgotten(context, seconds, ratio):
+    capacity = context.directory.find("leaf-0").capacity
+    assert capacity.service_ratio(2400.0 + 1000.0 * seconds) < ratio
+
+
+@given("a leaf that answers each 400 ms")
+def step_answers(context):
+    context.state, context.now_ms = make_state(now_ms=0.0), 0.0
+
+
+def count_told(context, seconds, ratio):
+    told = 0
+    for _ in range(int(seconds * 2.5)):
+        context.now_ms += 400.0
+        answer(context.state, context.now_ms, ratio)
+        told += context.state.capacity.take_changed(context.now_ms) is not None
+    return told
+
+
+@then(
+    "while it is {ratio:g} times slower for {seconds:d} s, its estimate is told "
+    "{least:d} to {most:d} times"
+)
+def step_told(context, ratio, seconds, least, most):
+    told = count_told(context, seconds, ratio)
+    assert least <= told <= most, told
+
+
+@then(
+    "while it is as fast as usual for {seconds:d} s, its estimate is told "
+    "at most {most:d} times"
+)
+def step_not_told(context, seconds, most):
+    told = count_told(context, seconds, 1.0)
+    assert told <= most, told
+
+
 @then("after any reports, answers and shared estimates the limit is 1 to its slots")
 def step_any_events(context):
     steps = st.tuples(
