--- a/src/snipemount/capacity/leaf_capacity.py
+++ b/src/snipemount/capacity/leaf_capacity.py
@@ -27,7 +27,7 @@
 MAX_USUAL_RISE = 1.6  # a pause must not pass as the usual speed
 CONFIRMED_RISE_WEIGHT = 0.15
 MAX_CONFIRMED_RISE = 3.0
-# Without answers the usual speed is forgotten: a leaf that was slow is asked again.
+# Without answers the usual speed is forgotten: a leaf that was slow is used again.
 USUAL_HELD_MS = 1000.0
 USUAL_DECAY_MS = 20_000.0
 MAX_USUAL = 2.5  # slow enough to be avoided; more would only be forgotten later
@@ -54,7 +54,7 @@
 # Cost of a leaf at its limit: busy leafs finish later on average than free ones.
 BUSY_COST = 0.25
 CHANGED_FACTOR = 1.2
-REPEAT_MS = 1000.0  # what was told has then lost a quarter of its weight
+REPEAT_MS = 1000.0  # what was shared has then lost a quarter of its weight
 
 
 class LeafCapacity:
@@ -76,6 +76,9 @@
     """
 
     __slots__ = (
+        "_last_shared_at_ms",
+        "_last_shared_limit",
+        "_last_shared_ratio",
         "_limit",
         "_limit_at_ms",
         "_mean_load",
@@ -89,9 +92,6 @@
         "_shared",
         "_slow_in_a_row",
         "_slow_until_ms",
-        "_told_at_ms",
-        "_told_limit",
-        "_told_ratio",
         "_usual",
         "slots",
         "unshared",
@@ -114,9 +114,9 @@
         self._sent_since_report = 0
         self._prior = WorkPrior()
         self._shared = SharedEstimate()
-        self._told_at_ms = -math.inf
-        self._told_ratio = 1.0
-        self._told_limit = float(self.slots)
+        self._last_shared_at_ms = -math.inf
+        self._last_shared_ratio = 1.0
+        self._last_shared_limit = float(self.slots)
 
     def sent(self) -> None:
         """Record the start of an attempt."""
@@ -183,13 +183,13 @@
         """
         self.unshared = False
         ratio, limit = self._own_ratio(now_ms), self._own_limit(now_ms)
-        told_ratio, told_limit = self._told_ratio, self._told_limit
-        if now_ms - self._told_at_ms > REPEAT_MS:
-            told_ratio, told_limit = self._usual, float(self.slots)
-        if not (_changed(ratio, told_ratio) or _changed(limit, told_limit)):
+        last_ratio, last_limit = self._last_shared_ratio, self._last_shared_limit
+        if now_ms - self._last_shared_at_ms > REPEAT_MS:
+            last_ratio, last_limit = self._usual, float(self.slots)
+        if not (_changed(ratio, last_ratio) or _changed(limit, last_limit)):
             return None
-        self._told_ratio, self._told_limit = ratio, limit
-        self._told_at_ms = now_ms
+        self._last_shared_ratio, self._last_shared_limit = ratio, limit
+        self._last_shared_at_ms = now_ms
         return ratio, limit
 
     def service_ratio(self, now_ms: float) -> float:
@@ -304,8 +304,8 @@
         self._usual = min(MAX_USUAL, risen)
 
 
-def _changed(value: float, told: float) -> bool:
-    return value > CHANGED_FACTOR * told or told > CHANGED_FACTOR * value
+def _changed(value: float, last: float) -> bool:
+    return value > CHANGED_FACTOR * last or last > CHANGED_FACTOR * value
 
 
 __all__ = ["LeafCapacity"]
--- a/tests/capacity/learning.feature
+++ b/tests/capacity/learning.feature
@@ -7,17 +7,17 @@
     Then nothing is learnt of it, and it counts as fast
     And after one report without a work figure still nothing is learnt of it
 
-  # Guards against leafs that are never asked again once they were slow.
+  # Guards against leafs that never get requests again once they were slow.
   Scenario: A slowness is forgotten without answers
     Given a leaf that has stated its work and answered 8 times too late
     Then 30 s later it counts as less than 1.4 times as slow as usual
 
-  # Guards against slowness that only one daemon knows of, and others find out anew.
-  Scenario: A slowness that lasts is told again, a lasting speed is not
+  # Guards against slowness that other daemons find out anew with late legs of their own.
+  Scenario: A slowness that lasts is shared again, a lasting speed is not
     Given a leaf that answers each 400 ms
-    Then while it is 8 times slower for 8 s, its estimate is told 4 to 12 times
-    And while it is as fast as usual for 8 s, its estimate is told at most 12 times
-    And while it is as fast as usual for 20 s, its estimate is told at most 0 times
+    Then while it is 8 times slower for 8 s, its estimate is shared 4 to 12 times
+    And while it is as fast as usual for 8 s, its estimate is shared at most 12 times
+    And while it is as fast as usual for 20 s, its estimate is shared at most 0 times
 
   # Guards against estimates that leave their range, whatever leafs and daemons state.
   Scenario: Estimates stay in range
--- a/tests/steps/learning_steps.py
+++ b/tests/steps/learning_steps.py
@@ -88,31 +88,31 @@
     context.state, context.now_ms = make_state(now_ms=0.0), 0.0
 
 
-def count_told(context, seconds, ratio):
-    told = 0
+def count_shared(context, seconds, ratio):
+    shared = 0
     for _ in range(int(seconds * 2.5)):
         context.now_ms += 400.0
         answer(context.state, context.now_ms, ratio)
-        told += context.state.capacity.take_changed(context.now_ms) is not None
-    return told
+        shared += context.state.capacity.take_changed(context.now_ms) is not None
+    return shared
 
 
 @then(
-    "while it is {ratio:g} times slower for {seconds:d} s, its estimate is told "
+    "while it is {ratio:g} times slower for {seconds:d} s, its estimate is shared "
     "{least:d} to {most:d} times"
 )
-def step_told(context, ratio, seconds, least, most):
-    told = count_told(context, seconds, ratio)
-    assert least <= told <= most, told
+def step_shared_again(context, ratio, seconds, least, most):
+    shared = count_shared(context, seconds, ratio)
+    assert least <= shared <= most, shared
 
 
 @then(
-    "while it is as fast as usual for {seconds:d} s, its estimate is told "
+    "while it is as fast as usual for {seconds:d} s, its estimate is shared "
     "at most {most:d} times"
 )
-def step_not_told(context, seconds, most):
-    told = count_told(context, seconds, 1.0)
-    assert told <= most, told
+def step_not_shared(context, seconds, most):
+    shared = count_shared(context, seconds, 1.0)
+    assert shared <= most, shared
 
 
 @then("after any reports, answers and shared estimates the limit is 1 to its slots")
