--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -157,7 +157,7 @@
             self._kinds,
             own,
             context.timers,
-            lambda evidence: self._evidence.add_reported(evidence.leafs),
+            self._evidence.add_reported,
             retries,
             logger,
         )
@@ -227,9 +227,9 @@
     def on_follower_message(self, message: RelayMessage) -> None:
         """Apply what a follower reports; forward evidence with this daemon's own."""
         match message:
-            case RelayEvidence(leafs):
-                self._evidence.add_reported(leafs)
-                self._evidence.forward(leafs)
+            case RelayEvidence():
+                self._evidence.add_reported(message)
+                self._evidence.forward(message)
             case RelayUsage() if self.on_usage is not None:
                 self.on_usage(message)
 
@@ -240,13 +240,13 @@
         self._publish(change)
 
     def _send_evidence(self) -> None:
-        leafs = self._evidence.take_unreported()
-        if not leafs:
+        evidence = self._evidence.take_unreported()
+        if evidence is None:
             return
         if self.followed is None:
-            self._relay.publish(RelayEvidence(leafs))
+            self._relay.publish(evidence)
         else:
-            self._relay.report(RelayEvidence(leafs))
+            self._relay.report(evidence)
 
     def _publish(self, message: RelayMessage) -> None:
         if self.followed is None:
