Tests: callers that never finish their requests

A process of its own, lowered limits, 60 to 200 hostile connections per form. Checked: the process lives, its largest resident memory, its descriptors, and the answer to the next caller.

--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -78,8 +78,9 @@
 class EndlessBed:
     """A daemon process, a store, sound leafs, and leafs that send without end."""
 
-    def __init__(self, form: str) -> None:
+    def __init__(self, form: str, more_settings: str = "") -> None:
         self._form = form
+        self._more_settings = more_settings
         self._folder = tempfile.TemporaryDirectory(prefix="snipemount-endless-")
         number = next(DAEMON_NUMBERS)
         ip = f"127.{os.getpid() % MAX_DAEMONS_PER_PROCESS + 2}.7.{number}"
@@ -116,7 +117,7 @@
             daemon.name, daemon.zone, daemon.ip, f"{LOOPBACK}:{port}", [], daemon.size
         )
         path = Path(self._folder.name) / f"{daemon.name}.conf"
-        path.write_text(text, encoding="utf-8")
+        path.write_text(text + self._more_settings, encoding="utf-8")
         daemon.start()
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not await self._is_ready():
