Callers that never finish are bounded before their requests are served

Cause: aiohttp hands a request to its handler with its head, so bodies pile up in tasks; nothing bounded what all connections hold, and header_timeout_ms was not enforced.

Change: CallerConnection (platform/) collects one request at a time and hands it on when it is complete; until then it can be refused as "not run" and freed. ByteBudget and UnfinishedRequests (memory/) count what all hold and choose what to shed by bytes times age. Time limits for head, body and unread responses, turns for chunked bodies, a bound on connections from limits.max_fds, free pages returned to the system. Expect: 100-continue is answered.

The docstring of CallerLimits.max_header_bytes now says what the design page requires: request line and headers together.

--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -33,6 +33,8 @@
 )
 from .errors import SettingsError
 from .logs import make_logger
+from .platform.caller_bounds import CallerBounds
+from .platform.caller_connections import CallerConnections
 from .platform.caller_server import CallerServer
 from .platform.documents import PlatformDecoders
 from .platform.graceful_stop import StopTimes, stop_serving
@@ -165,7 +167,14 @@
             self.logger,
         )
         self._caller_server = CallerServer(
-            self.gateway, lambda: self._delegated_queries.in_flight
+            self.gateway,
+            lambda: self._delegated_queries.in_flight,
+            CallerConnections(
+                self._timers,
+                CallerBounds.for_process(settings.limits, settings.caller_timeouts),
+                lambda: self.gateway.limits,
+                self.logger,
+            ),
         )
         self._register_gauges()
         self._stopping = asyncio.Event()
@@ -281,6 +290,22 @@
             "ready", "Whether the balancer may send callers.", lambda: float(self.ready)
         )
         gauge("in_flight", "Requests in flight.", lambda: self._caller_server.in_flight)
+        callers = self._caller_server.connections
+        gauge(
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: callers.open_count,
+        )
+        gauge(
+            "caller_bytes",
+            "Bytes held for unfinished requests and unread responses.",
+            lambda: callers.held_bytes,
+        )
+        gauge(
+            "callers_cut_off",
+            "Callers that were refused or cut off before a request was served.",
+            lambda: callers.cut_offs.total,
+        )
         gauge(
             "delegated_in_flight",
             "Queries in flight that other daemons delegate.",
--- /dev/null
+++ b/src/snipemount/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory of a process."""
--- a/src/snipemount/model/configuration.py
+++ b/src/snipemount/model/configuration.py
@@ -143,7 +143,7 @@
     Parameters
     ----------
     max_header_bytes : int
-        Maximum size of the request line and of each header.
+        Maximum size of the request line and all headers together.
     max_body_bytes : int
         Maximum size of a request's body.
     header_timeout_ms : float
--- a/src/snipemount/platform/caller_server.py
+++ b/src/snipemount/platform/caller_server.py
@@ -6,7 +6,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
@@ -23,7 +22,11 @@
     Unauthorized,
     UnknownRoute,
 )
+from ..timers import LoopTimers
 from . import headers as names
+from .caller_bounds import CallerBounds
+from .caller_connection import CallerConnection
+from .caller_connections import CallerConnections
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,11 +34,11 @@
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http import RawRequestMessage
     from aiohttp.streams import StreamReader
+    from aiohttp.web_protocol import RequestHandler
     from aiohttp.web_response import StreamResponse
 
     from ..model.forwarding import RequestOutcome
     from ..serving.gateway import Gateway
-    from ..timers import LoopTimers
 
 DISABLED_LOGGER = logging.Logger("unused", logging.CRITICAL)
 MAX_RECEIPTS_PER_HEADER = 30
@@ -43,7 +46,6 @@
 STOPPING_RETRY_AFTER_MS = 20.0  # short: another daemon can take the request now
 IDLE_CHECK_PERIOD_MS = 10.0
 REQUIRED_IDLE_CHECKS = 2
-KEEP_ALIVE_SLACK_S = 1.0
 STATUS_BY_FAILURE = {
     FailureReason.LEAF_LOST: 502,
     FailureReason.TOO_FEW_SHARDS: 502,
@@ -70,30 +72,37 @@
     delegated_in_flight : Callable
         Returns the number of queries in flight that other daemons delegate; they have
         to end too before the daemon is idle.
+    connections : CallerConnections or None
+        Bounds on what callers use; None for the default bounds.
     """
 
     def __init__(
-        self, gateway: Gateway, delegated_in_flight: Callable[[], int] = _none
+        self,
+        gateway: Gateway,
+        delegated_in_flight: Callable[[], int] = _none,
+        connections: CallerConnections | None = None,
     ) -> None:
         self._gateway = gateway
         self._delegated_in_flight = delegated_in_flight
         self._server = Server(
             self._handle, request_factory=self._make_request, handler_cancellation=True
         )
+        self.connections = connections or CallerConnections(
+            LoopTimers(asyncio.get_running_loop()),
+            CallerBounds(),
+            lambda: gateway.limits,
+        )
         self.closing = False
         self._refusing = False
         self._pending: set[asyncio.Future[RequestOutcome]] = set()
         self.in_flight = 0
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> CallerConnection:
         """Return the protocol for a new connection, with the current limits."""
-        limits = self._gateway.limits
-        return RequestHandler(
+        return CallerConnection(
             self._server,
+            self.connections,
             loop=asyncio.get_running_loop(),
-            keepalive_timeout=limits.idle_timeout_ms / MS_PER_S + KEEP_ALIVE_SLACK_S,
-            max_field_size=limits.max_header_bytes,
-            max_line_size=limits.max_header_bytes,
             auto_decompress=False,
             access_log=DISABLED_LOGGER,
         )
@@ -113,6 +122,7 @@
         while idle_checks < REQUIRED_IDLE_CHECKS and timers.now_ms() < end_ms:
             await timers.sleep(IDLE_CHECK_PERIOD_MS)
             in_flight = self.in_flight + self._delegated_in_flight()
+            in_flight += self.connections.unfinished_bodies
             idle_checks = 0 if in_flight else idle_checks + 1
         return idle_checks >= REQUIRED_IDLE_CHECKS
 
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -9,6 +9,7 @@
 
 from ..decisions.leafs.leaf_directory import DEFAULT_HEARTBEAT_MS
 from ..errors import SettingsError
+from ..memory.unfinished_requests import ProgressTimeouts
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -163,6 +164,8 @@
         Limits of the platform on this process.
     duties : DutySettings
         Duties that one daemon at a time performs.
+    caller_timeouts : ProgressTimeouts
+        Times within which callers have to make progress.
     """
 
     name: str
@@ -179,6 +182,7 @@
     bounds: GuaranteeBounds
     limits: ProcessLimits = ProcessLimits()
     duties: DutySettings = DutySettings()
+    caller_timeouts: ProgressTimeouts = ProgressTimeouts()
 
 
 def node_file_path() -> str:
@@ -246,6 +250,10 @@
             max_descriptors=int(fields.number("limits.max_fds", 0.0)),
         ),
         duties=_duties(fields),
+        caller_timeouts=ProgressTimeouts(
+            body_ms=fields.number("limits.body_timeout_ms", 30_000.0),
+            stall_ms=fields.number("limits.body_stall_ms", 5_000.0),
+        ),
     )
 
 
--- a/tests/steps/untrusted_steps.py
+++ b/tests/steps/untrusted_steps.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import socket
-from pathlib import Path
 
 import aiohttp
 from behave import given, then, when
