Overload: admission of requests by the load that leafs report

Cause: with too little leaf capacity, bulk requests were served best and urgent ones worst; nothing held bulk back. Change: each daemon derives a level per service from leafs' reports and refusals; less urgent requests wait or are refused before their first attempt.

--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -92,6 +92,12 @@
             ("result",),
             registry=registry,
         )
+        self._admissions = Counter(
+            "snipemount_overload_decisions",
+            "Requests queued or refused for overload of their service, by rank.",
+            ("decision", "rank"),
+            registry=registry,
+        )
         self._query_bytes = Counter(
             "snipemount_query_bytes_read",
             "Bytes read from leafs for queries over all shards.",
@@ -151,6 +157,10 @@
         """Count a query that was given to a coordinator."""
         self._delegations.labels(result).inc()
 
+    def admission(self, decision: str, rank: str) -> None:
+        """Count a request that was queued or refused in an overload."""
+        self._admissions.labels(decision, rank).inc()
+
     def query_stages(self, stages: QueryStages) -> None:
         """Record the stages of a query over all shards."""
         for stage, time_ms in (
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -24,6 +24,7 @@
 from .decisions.fleet.zone_reachability import ZoneReachability
 from .decisions.leafs.leaf_choice import LeafChoice
 from .decisions.leafs.leaf_directory import LeafDirectory
+from .entry_gauges import add_directory_gauges, add_overload_gauges
 from .entry_settings import (
     age_limits,
     cold_limit,
@@ -46,6 +47,7 @@
 from .serving.coordinator_links import CoordinatorLinks
 from .serving.delegated_queries import DelegatedQueries
 from .serving.gateway import Gateway
+from .serving.overload_control import OverloadControl
 from .serving.ready_connections import ReadyConnections
 from .serving.request_log import RequestLog
 from .serving.store_feed import StoreFeed
@@ -123,6 +125,10 @@
             RequestLog(self.logger, self._metrics),
             self._coordinators,
         )
+        self._overload = OverloadControl(
+            self._context, self._random, self._admits_by_load
+        )
+        self._context.overload = self._overload
         store = settings.store
         state_limits = age_limits(settings)
         self._store = StoreClient(
@@ -263,29 +269,13 @@
     def _register_gauges(self) -> None:
         gauge = self._metrics.add_gauge
         gateway = self.gateway
-        context = self._context
+        add_directory_gauges(self._metrics, self._context)
+        add_overload_gauges(self._metrics, self._overload)
         gauge(
             "configuration_version",
             "Version of the configuration in force.",
             lambda: gateway.version,
         )
-        gauge("leafs_known", "Leafs in the directory.", lambda: len(context.directory))
-        gauge(
-            "leaf_removals_held",
-            "Leafs whose entries are gone but kept for the grace time.",
-            lambda: context.directory.pending_removal_count,
-        )
-        gauge(
-            "leafs_limited",
-            "Leafs that state a limit on requests.",
-            lambda: context.directory.limited_count,
-        )
-        gauge("daemons_known", "Registered daemons.", lambda: context.daemon_count)
-        gauge(
-            "zones_cut_off",
-            "Zones that are considered cut off.",
-            lambda: len(context.reachability.cut_off_zones()),
-        )
         gauge(
             "zone_orders_age_ms",
             "Time since the known orders on zones were current for certain.",
@@ -362,6 +352,13 @@
         share = self._context.own_share(limit, leaf.leaf_id, leaf.service)
         return max(1, int(share))
 
+    def _admits_by_load(self) -> bool:
+        configuration = self.gateway.configuration
+        has_organisations = (
+            configuration is not None and configuration.organisations is not None
+        )
+        return self._settings.leafs_under_pressure or has_organisations
+
     def _cold_requests_per_s(self, service: str) -> float:
         traits = self.gateway.traits(service)
         return 0.0 if traits is None else traits.cold_requests_per_s
@@ -373,6 +370,7 @@
         daemons; then the running requests are completed and everything is closed.
         """
         self._delegated_queries.stop()
+        self._overload.stop()
         if self._usage is not None:
             self._usage.prepare_stop()
         await stop_serving(
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -16,6 +16,7 @@
 NODE_FILE_VARIABLE = "SNIPEMOUNT_NODE_FILE"
 DEFAULT_PATH = "/etc/snipemount/local.conf"
 MS_PER_S = 1000.0
+PRESSURE = "pressure"  # in the list of contracts
 
 
 @attrs.frozen
@@ -163,6 +164,8 @@
         Limits of the platform on this process.
     duties : DutySettings
         Duties that one daemon at a time performs.
+    leafs_under_pressure : bool
+        Whether leafs may be overloaded, so that requests are admitted by their load.
     """
 
     name: str
@@ -179,6 +182,7 @@
     bounds: GuaranteeBounds
     limits: ProcessLimits = ProcessLimits()
     duties: DutySettings = DutySettings()
+    leafs_under_pressure: bool = False
 
 
 def node_file_path() -> str:
@@ -246,6 +250,7 @@
             max_descriptors=int(fields.number("limits.max_fds", 0.0)),
         ),
         duties=_duties(fields),
+        leafs_under_pressure=PRESSURE in fields.names("contracts"),
     )
 
 
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -40,6 +40,10 @@
     def delegation(self, result: str) -> None:
         """Count a query that was given to a coordinator, by what became of it."""
 
+    @abstractmethod
+    def admission(self, decision: str, rank: str) -> None:
+        """Count a request that was queued or refused in an overload, by its rank."""
+
     @abstractmethod
     def query_stages(self, stages: QueryStages) -> None:
         """Record how long the stages of a query over all shards took."""
@@ -69,6 +73,9 @@
     def delegation(self, result: str) -> None:
         """Do nothing."""
 
+    def admission(self, decision: str, rank: str) -> None:
+        """Do nothing."""
+
     def query_stages(self, stages: QueryStages) -> None:
         """Do nothing."""
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -14,6 +14,7 @@
 from ..model.forwarding import RefusalReason, RequestRefused
 from ..model.leaf_notice import SILENT_NOTICE
 from .leaf_limits import LeafLimits
+from .reserved_slots import leave_slots_free
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -27,12 +28,14 @@
     from ..decisions.leafs.leaf_state import LeafState
     from ..decisions.requests.extra_attempts import ExtraAttemptLimit
     from ..model.configuration import Route, ToAllShards
+    from ..model.forwarding import ForwardRequest
     from ..model.leaf import Leaf
     from ..model.leaf_notice import LeafNotice
     from ..ports.leaf import LeafPort
     from ..ports.relay import DaemonAddress
     from ..ports.serving_metrics import ServingMetrics
     from ..timers import TimerService
+    from .overload_control import OverloadControl
 
 RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 60_000.0
@@ -109,6 +112,8 @@
         Limits that leafs state.
     running_legs : int
         Shards of the queries that run in this daemon.
+    overload : OverloadControl or None
+        Decides on requests by the load of the leafs; None where it never does.
     """
 
     timers: TimerService
@@ -133,6 +138,7 @@
     leaf_limits: LeafLimits = attrs.field(init=False)
     _daemons: dict[str, DaemonAddress] = attrs.field(factory=dict, init=False)
     running_legs: int = 0
+    overload: OverloadControl | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.started_ms = self.timers.now_ms()
@@ -178,6 +184,15 @@
         limit = self.cold_limit.requests_per_s(stated_per_s)
         return [s for s in states if self._accepts_cold_request(s, limit)]
 
+    def first_leafs(
+        self, service: str, route: Route, request: ForwardRequest
+    ) -> list[LeafState]:
+        """Return the leafs of a service for the first attempt of a request."""
+        states = self.candidates(service)
+        if self.overload is None or not self.overload.reserves_slots(route, request):
+            return states
+        return leave_slots_free(states, self.timers.now_ms())
+
     def _accepts_cold_request(self, state: LeafState, limit: int) -> bool:
         now_ms = self.timers.now_ms()
         if not state.is_cold(now_ms):
--- a/src/snipemount/serving/delegated_queries.py
+++ b/src/snipemount/serving/delegated_queries.py
@@ -23,6 +23,7 @@
 from ..ports.delegation import DelegationHandler
 from .delegated_run import RUNNING_PERIOD_MS
 from .gather_run import GatherRun
+from .waiting_run import WaitingRun
 
 if TYPE_CHECKING:
     from ..model.delegation import DelegationMessage
@@ -106,7 +107,7 @@
                     run.cancel()
             case FurtherAttemptsGranted(query_id, positions):
                 run = self._links.get(link, {}).get(query_id)
-                if isinstance(run, GatherRun):
+                if isinstance(run, GatherRun | WaitingRun):
                     run.grant_further_attempts(positions)
             case (
                 ConfigurationAnnounced()
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -11,6 +11,7 @@
 from ..model.delegation import DelegatedQuery
 from ..model.forwarding import (
     FailureReason,
+    RefusalReason,
     RequestFailed,
     RequestRefused,
 )
@@ -185,7 +186,11 @@
             if self._link is not None:
                 self._zones_without_leafs.add(self._link.daemon.zone)
             self._end_delegation(outcome.reason.value)
-            self._ask_next()
+            if outcome.reason is RefusalReason.OVERLOADED:
+                # Other coordinators see the same leafs.
+                self._finish(outcome)
+            else:
+                self._ask_next()
             return
         self._end_delegation("answered")
         self._finish(outcome)
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -7,13 +7,11 @@
 
 from ..decisions.query.answer_timing import LAG_FACTOR, RouteTiming
 from ..decisions.requests.route_table import RouteTable
-from ..decisions.requests.weighted_round_robin import WeightedRoundRobin
 from ..identity.authenticator import Authenticator
 from ..model.configuration import (
     CallerLimits,
     ToAllShards,
     ToService,
-    ToWeightedServices,
 )
 from ..model.forwarding import (
     FailureReason,
@@ -28,9 +26,11 @@
 from .counted_run import CountedRun
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
+from .overload_control import PendingStart
 from .request_log import EndedRequest
 from .run import EndedRun, RunTerms
 from .single_run import SingleRun
+from .target_choice import TargetChoice, time_left_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,12 +44,12 @@
     from .request_log import RequestLog
     from .run import Run
 
+    Done = Callable[[RequestOutcome], None]
     StartableRun = GatherRun | SingleRun | DelegatedRun
 
 # A delegated query may run under the configuration before, so long after its end: the
 # other daemon gets the newer one within this time.
 PREVIOUS_CONFIGURATION_MS = 200.0
-ANSWER_TRANSIT_MS = 8.0  # for the answer to reach the caller before its deadline
 NO_CONFIGURATION_RETRY_AFTER_MS = 500.0
 
 
@@ -91,7 +91,7 @@
         self._previous_routes: RouteTable | None = None
         self._previous_version = 0
         self._replaced_ms = -math.inf
-        self._round_robins: dict[str, WeightedRoundRobin] = {}
+        self._targets = TargetChoice()
         self.configuration: Configuration | None = None
         self.last_request_ms = -math.inf
         self.shards: frozenset[str] = frozenset()
@@ -145,7 +145,7 @@
         self._replaced_ms = self._context.timers.now_ms()
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
-        self._round_robins.clear()
+        self._targets.clear()
         self.shards = frozenset(
             shard
             for route in configuration.routes
@@ -178,23 +178,50 @@
         request = request.identified(caller)
         started_ms = self._context.timers.now_ms()
         self.last_request_ms = started_ms
-        end_ms = started_ms + self._time_left_ms(route, request)
+        end_ms = started_ms + time_left_ms(route, request)
+        target = self._targets.target(route)
 
-        def start(done: Callable[[RequestOutcome], None]) -> Run:
-            return self._start(
-                route,
-                request,
-                done,
-                lambda on_ended: self._make_run(route, request, end_ms, on_ended),
-            )
+        def start(done: Done) -> Run:
+            def make_run(done: Done) -> StartableRun:
+                return self._make_run(route, target, request, end_ms, done)
+
+            return self._start(route, request, done, make_run)
+
+        def admit(done: Done) -> Run:
+            if isinstance(target, ToAllShards) and self.delegates:
+                return start(done)  # the coordinator decides
+            return self._admit(route, target, request, end_ms, start, done)
 
         caller = request.caller
         if self.request_counter is None or not isinstance(caller, OfOrganisation):
-            return start(done)
+            return admit(done)
         counted = CountedRun(
             self.request_counter, caller.name, self._context.timers, done
         )
-        return counted.follow(start(counted.finish))
+        return counted.follow(admit(counted.finish))
+
+    def _admit(
+        self,
+        route: Route,
+        target: ToService | ToAllShards,
+        request: ForwardRequest,
+        end_ms: float,
+        start: Callable[[Done], Run],
+        done: Done,
+    ) -> Run:
+        """Start a request, unless its services are overloaded."""
+        overload = self._context.overload
+        if overload is None or not overload.is_on:
+            return start(done)
+        arrived_ms = self._context.timers.now_ms()
+        pending = PendingStart(
+            start,
+            lambda refusal: self._end_immediately(
+                request, refusal, done, route, arrived_ms
+            ),
+            done,
+        )
+        return overload.submit(route, target, request, end_ms, pending)
 
     def may_run(self, query: DelegatedQuery) -> bool:
         """Return whether a delegated query fits the configuration in force.
@@ -256,15 +283,16 @@
             query.earlier_attempts,
             request_further,
         )
-        return self._start(
-            route,
-            request,
-            done,
-            lambda on_ended: GatherRun(
-                self._context, route, target, request, terms, on_ended
-            ),
-            query.sender,
-        )
+
+        def start(done: Done) -> Run:
+            def make_run(done: Done) -> GatherRun:
+                return GatherRun(self._context, route, target, request, terms, done)
+
+            return self._start(route, request, done, make_run, query.sender)
+
+        if any(query.earlier_attempts):
+            return start(done)  # it may have run, so it must not be refused
+        return self._admit(route, target, request, terms.deadline_at_ms, start, done)
 
     def _end_immediately(
         self,
@@ -272,9 +300,12 @@
         outcome: RequestOutcome,
         done: Callable[[RequestOutcome], None],
         route: Route | None = None,
+        started_ms: float | None = None,
     ) -> Run:
         now_ms = self._context.timers.now_ms()
-        self._log.record(EndedRequest(request, route, self.version, outcome), now_ms)
+        elapsed_ms = 0.0 if started_ms is None else now_ms - started_ms
+        ended = EndedRequest(request, route, self.version, outcome, elapsed_ms)
+        self._log.record(ended, now_ms)
         done(outcome)
         return EndedRun()
 
@@ -324,19 +355,17 @@
     def _make_run(
         self,
         route: Route,
+        target: ToService | ToAllShards,
         request: ForwardRequest,
         end_ms: float,
         done: Callable[[RequestOutcome], None],
     ) -> StartableRun:
         context = self._context
-        match route.target:
-            case ToAllShards() as target:
+        match target:
+            case ToAllShards():
                 return self._make_query(route, target, request, end_ms, done)
             case ToService(service):
                 return SingleRun(context, route, service, request, end_ms, done)
-            case ToWeightedServices() as weighted:
-                service = self._next_weighted_service(route, weighted)
-                return SingleRun(context, route, service, request, end_ms, done)
 
     def _make_query(
         self,
@@ -364,20 +393,5 @@
         )
         return DelegatedRun(context, links, query, run_here, done)
 
-    @staticmethod
-    def _time_left_ms(route: Route, request: ForwardRequest) -> float:
-        if request.deadline_ms is None:
-            return route.timeout_ms
-        transit_ms = min(ANSWER_TRANSIT_MS, request.deadline_ms / 4.0)
-        return min(route.timeout_ms, request.deadline_ms - transit_ms)
-
-    def _next_weighted_service(self, route: Route, weighted: ToWeightedServices) -> str:
-        round_robin = self._round_robins.get(route.name)
-        if round_robin is None:
-            round_robin = self._round_robins[route.name] = WeightedRoundRobin(
-                weighted.parts
-            )
-        return round_robin.next_service()
-
 
 __all__ = ["Gateway"]
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -223,6 +223,11 @@
         states = self._context.candidates(self.service)
         return [state for state in states if state.limit is None]
 
+    def _leafs_to_ask(self) -> list[LeafState]:
+        if self._tried_leafs:
+            return self._context.candidates(self.service)
+        return self._context.first_leafs(self.service, self._route, self._request)
+
     def _has_untried(self, states: list[LeafState]) -> bool:
         now_ms = self._context.timers.now_ms()
         return any(
@@ -245,9 +250,7 @@
         left_ms = self._deadline_at_ms - now_ms
         if left_ms < 1.0 or self._possible_runs >= self._route.max_attempts:
             return False
-        states = (
-            self._leafs_to_hedge() if hedges else self._context.candidates(self.service)
-        )
+        states = self._leafs_to_hedge() if hedges else self._leafs_to_ask()
         state = self._context.choice.pick(
             states, self._tried_leafs, self._timing.typical_ms, now_ms
         )
@@ -277,6 +280,8 @@
         self._record_attempt(attempt, report, now_ms)
         if is_response(report.outcome):
             self._context.note_response(attempt.state.leaf)
+        if self._context.overload is not None:
+            self._context.overload.note_attempt(attempt.state, report)
         if report.load is not None:
             attempt.state.load_reported(report.load, now_ms)
         if report.notice is not None:
