Overload: level follows the wait at the leafs; features by load

Cause: a level that grew while the wait was too long spread from 0 to 3 ranks over 86 daemons, and bursts held urgent requests back too. Change: the level is a function of the leafs' wait, with a slower rise for more urgent ranks; a request that has waited as long as it may starts if no more urgent rank is held back.

--- a/src/snipemount/overload/admission.py
+++ b/src/snipemount/overload/admission.py
@@ -16,6 +16,7 @@
 
     from ..model.forwarding import LoadReport
     from .request import AdmissionRequest, Decision
+    from .waiting import WaitingRequest
 
 # A refused caller retries after at most a third of its remaining time.
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
@@ -105,12 +106,25 @@
                 continue
             self._waiting.remove(waiting.ticket)
             request = waiting.request
+            if self._is_worth_trying(waiting, now_ms):
+                self._admit(request, waiting.group, now_ms)
+                released.append((waiting.ticket, Admitted()))
+                continue
             wait_ms = waiting.group.level.ms_until(request.rank, waiting.position)
             left_ms = request.deadline_at_ms - now_ms
             refused = Refused(self._retry_after_ms(wait_ms, left_ms))
             released.append((waiting.ticket, refused))
         return released
 
+    @staticmethod
+    def _is_worth_trying(waiting: WaitingRequest, now_ms: float) -> bool:
+        """Return whether a request starts that has waited as long as it may."""
+        request, group = waiting.request, waiting.group
+        left_ms = request.deadline_at_ms - now_ms
+        if group.expected_ms(request.typical_ms) > left_ms:
+            return False
+        return not group.level.holds_more_urgent(request.rank)
+
     def refuse_all(self, now_ms: float) -> list[tuple[int, Refused]]:
         """Return the tickets of all waiting requests, as the process stops."""
         refused = []
--- a/src/snipemount/overload/service_group.py
+++ b/src/snipemount/overload/service_group.py
@@ -80,7 +80,7 @@
         signals = {s: known[s] for s in services if known[s].is_observed(now_ms)}
         if not signals or len(signals) < MIN_OBSERVED_SHARE * len(self.services):
             self.rounds = 0.0
-            self.level.release_all()
+            self.level.update(0.0, now_ms)
             return
         waits = sorted(
             signal.rounds(now_ms, partial(self._leaf_count, service))
@@ -89,8 +89,7 @@
         # The query is answered once enough shards have room for it.
         needed = max(1, math.ceil(self._min_share * len(waits)))
         self.rounds = waits[min(needed, len(waits)) - 1]
-        reported_ms = max(signal.reported_ms for signal in signals.values())
-        self.level.update(self.rounds, reported_ms, now_ms)
+        self.level.update(self.rounds, now_ms)
 
     def expected_ms(self, typical_ms: float) -> float:
         """Return the time that an answer takes at the present load.
--- a/src/snipemount/overload/signal.py
+++ b/src/snipemount/overload/signal.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from .level import FULL_ROUNDS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,8 +19,6 @@
 # requests asks the leafs of a service one after the other.
 LEAF_VALID_MS = 2000.0
 SILENT_AFTER_MS = 1000.0
-# Counted for a leaf that refuses: the queues of leafs hold 3 to 8 rounds.
-FULL_ROUNDS = 4.0
 MAX_ROUNDS = 8.0  # bounds what one absurd report counts
 MAX_LEAFS = 64
 
--- /dev/null
+++ b/tests/steps/overload_steps.py
@@ -0,0 +1,178 @@
+"""Steps on what callers see of an overloaded service, with the part off and on."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from overload_world import IN_TIME, LATE, REFUSED, OverloadWorld
+
+from snipemount.model.forwarding import LoadReport
+from snipemount.overload.admission import MAX_RETRY_AFTER_SHARE, Admission
+from snipemount.overload.request import AdmissionRequest, Admitted, Queued, Refused
+from snipemount.overload.waiting import MAX_WAITING
+
+TOLERANCE = 0.01  # of a share, between two loads of the same size
+
+
+@given("86 daemons before 9 leafs that serve 450 requests a second")
+def step_worlds(context):
+    context.off, context.on = OverloadWorld(False), OverloadWorld(True)
+    context.worlds = (context.off, context.on)
+
+
+@given("{count:d} leafs are down from {from_s:d} s to {to_s:d} s")
+def step_down(context, count, from_s, to_s):
+    for world in context.worlds:
+        for leaf in world.leafs[:count]:
+            for at_s, down in ((from_s, True), (to_s, False)):
+                world.timers.call_later(
+                    at_s * 1000.0, lambda leaf=leaf, down=down: set_down(leaf, down)
+                )
+
+
+def set_down(leaf, down):
+    leaf.down = down
+
+
+@given("one leaf is {times:d} times slower")
+def step_slow(context, times):
+    for world in context.worlds:
+        world.leafs[0].slowness = times
+
+
+@given("callers ignore Retry-After")
+def step_ignore(context):
+    for world in context.worlds:
+        world.honours_retry_after = False
+
+
+@given("daemons restart, join and are cut off from half of the leafs")
+def step_faults(context):
+    for world in context.worlds:
+        for number, daemon in enumerate(world.daemons):
+            daemon.cut_off = number % 10 == 1
+            if number % 4:
+                continue
+            for at_ms in range(37 * number, 20_000, 2000):
+                world.timers.call_later(at_ms, daemon.restart)
+
+
+@when("{per_s:d} requests a second of rank {rank:d} arrive for {span_s:d} s")
+def step_load(context, per_s, rank, span_s):
+    for world in context.worlds:
+        world.load(rank, per_s, 0, span_s)
+
+
+@when(
+    "{per_s:d} requests a second of rank {rank:d} arrive for {span_s:d} s, "
+    "{times:g} times as many from {from_s:d} s to {to_s:d} s"
+)
+def step_burst(context, per_s, rank, span_s, times, from_s, to_s):
+    for world in context.worlds:
+        world.load(rank, per_s, 0, from_s)
+        world.load(rank, per_s * times, from_s, to_s)
+        world.load(rank, per_s, to_s, span_s)
+
+
+@when("{count:d} organisations of rank {rank:d} send {per_s:d} requests a second each")
+def step_organisations(context, count, rank, per_s):
+    for world in context.worlds:
+        for number in range(count):
+            world.load(rank, per_s, 0, 20, f"{rank}-{per_s}-{number}")
+
+
+@when("all requests have ended")
+def step_run(context):
+    for world in context.worlds:
+        world.timers.run_until(40_000.0)
+
+
+@then("at least {percent:d} in 100 requests of rank {rank:d} are served in time")
+def step_in_time(context, percent, rank):
+    results = context.on.results(rank)
+    assert results[IN_TIME] >= percent / 100.0, results
+
+
+@then("each rank is served in time at least as often as with the part off")
+def step_not_worse(context):
+    for rank in {caller.rank for caller in context.on.callers}:
+        off, on = context.off.results(rank), context.on.results(rank)
+        assert on[IN_TIME] >= off[IN_TIME] - TOLERANCE, (rank, off, on)
+
+
+@then("rank {rank:d} is served in time at least as often as with the part off")
+def step_rank_not_worse(context, rank):
+    off, on = context.off.results(rank), context.on.results(rank)
+    assert on[IN_TIME] >= off[IN_TIME], (off, on)
+
+
+@then("each rank is served in time at least as often as the less urgent ones")
+def step_order(context):
+    ranks = sorted({caller.rank for caller in context.on.callers})
+    shares = [context.on.results(rank)[IN_TIME] for rank in ranks]
+    assert shares == sorted(shares, reverse=True), shares
+    assert shares[-1] >= 0.05, shares
+
+
+@then("at most {percent:d} in 100 requests are served late")
+def step_late(context, percent):
+    results = context.on.results()
+    assert results[LATE] <= percent / 100.0, results
+
+
+@then("no organisation is served less than a quarter as often as all together")
+def step_quarter(context):
+    overall = context.on.results()[IN_TIME]
+    assert overall < 0.9  # otherwise the load is no overload
+    for organisation in {caller.organisation for caller in context.on.callers}:
+        results = context.on.results(organisation=organisation)
+        assert results[IN_TIME] >= overall / 4.0, (organisation, results, overall)
+
+
+@then("the part has neither queued nor refused a request")
+def step_silent(context):
+    assert context.on.held == 0, context.on.held
+    assert context.on.results()[REFUSED] == 0.0
+
+
+@then("whatever leafs report, waiting and refused requests stay within their bounds")
+def step_bounds(context):
+    report = st.tuples(
+        st.integers(0, 5), st.integers(-3, 10**9), st.integers(-1, 4), st.booleans()
+    )
+    event = st.tuples(
+        report, st.integers(0, 3), st.floats(1.0, 20_000.0), st.integers(0, 300)
+    )
+
+    @for_all(st.lists(event, max_size=300))
+    def check(events):
+        admission = Admission(Random(1), lambda service: 3)
+        refuse_by_ms = {}
+        now_ms = 0.0
+        for (leaf, waiting, slots, refuses), rank, left_ms, pause_ms in events:
+            now_ms += pause_ms
+            admission.note_report(
+                "s", f"l{leaf}", LoadReport(1, waiting, slots), now_ms
+            )
+            if refuses:
+                admission.note_refusal("s", f"l{leaf}", now_ms)
+            end_ms = now_ms + left_ms
+            asked = AdmissionRequest(("s",), 1.0, rank, f"o{leaf}", 20.0, end_ms)
+            match admission.decide(asked, now_ms):
+                case Queued(ticket):
+                    refuse_by_ms[ticket] = now_ms + left_ms / 2.0, end_ms
+                case Refused(retry_after_ms):
+                    assert 0.0 <= retry_after_ms <= left_ms * MAX_RETRY_AFTER_SHARE
+            assert admission.waiting_count == len(refuse_by_ms) <= MAX_WAITING
+            for ticket, decision in admission.release(now_ms):
+                _, end_ms = refuse_by_ms.pop(ticket)
+                if decision != Admitted():
+                    left_ms = max(0.0, end_ms - now_ms)
+                    most_ms = left_ms * MAX_RETRY_AFTER_SHARE
+                    assert decision.retry_after_ms <= most_ms
+            assert all(by_ms > now_ms for by_ms, _ in refuse_by_ms.values())
+
+    check()
--- a/tests/steps/overload_world.py
+++ b/tests/steps/overload_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from random import Random
 
@@ -20,6 +21,7 @@
 DEADLINES_MS = (1224.0, 3020.0, 15_051.0)  # by rank
 LEAF_RETRY_AFTER_MS = 50.0  # what callers are told without the part
 TICK_MS = 50.0
+LOAD_DECAY_MS = 120.0  # as in the choice of leafs
 IN_TIME, LATE, REFUSED, LOST = "in_time", "late", "refused", "lost"
 
 
@@ -74,18 +76,17 @@
 
 
 class Daemon:
-    """Sends to the less loaded of two random leafs, as it knows them."""
+    """Sends to the less loaded of two random leafs, as last reported."""
 
     def __init__(self, world: OverloadWorld, seed: int) -> None:
         self.world = world
         self.random = Random(seed)
         self.cut_off = False
-        self._loads: Counter[str] = Counter()
+        self._loads: dict[str, tuple[float, float]] = {}
         self._restart()
 
     def _restart(self) -> None:
-        count = lambda service: sum(not leaf.down for leaf in self.world.leafs)  # noqa: E731
-        self.admission = Admission(self.random, count)
+        self.admission = Admission(self.random, self.world.leaf_count)
         self._waiting: dict[int, Caller] = {}
 
     def restart(self) -> None:
@@ -105,8 +106,10 @@
             case Admitted():
                 self._start(caller)
             case Queued(ticket):
+                self.world.held += 1
                 self._waiting[ticket] = caller
             case refused:
+                self.world.held += 1
                 self.world.refused(caller, refused.retry_after_ms)
 
     def _asked(self, caller: Caller) -> AdmissionRequest:
@@ -133,12 +136,12 @@
         if self.cut_off:
             up = up[: len(up) // 2]
         leafs = self.random.sample(up, 2)
-        leafs.sort(key=lambda leaf: self._loads[leaf.name])
+        leafs.sort(key=self._load)
         for leaf in leafs:
             if leaf.send(lambda load, leaf=leaf: self._answered(caller, leaf, load)):
                 return
-            self._loads[leaf.name] = QUEUE
             now_ms = self.world.timers.now_ms()
+            self._loads[leaf.name] = QUEUE, now_ms
             self.admission.note_refusal(SERVICE, leaf.name, now_ms)
         retry_after_ms = LEAF_RETRY_AFTER_MS
         if self.world.is_on:
@@ -146,9 +149,14 @@
             retry_after_ms = self.admission.retry_after_ms(self._asked(caller), now_ms)
         self.world.refused(caller, retry_after_ms)
 
+    def _load(self, leaf: Leaf) -> float:
+        waiting, at_ms = self._loads.get(leaf.name, (0.0, 0.0))
+        age_ms = self.world.timers.now_ms() - at_ms
+        return waiting * math.exp(-age_ms / LOAD_DECAY_MS)
+
     def _answered(self, caller: Caller, leaf: Leaf, load: LoadReport) -> None:
-        self._loads[leaf.name] = load.waiting
         now_ms = self.world.timers.now_ms()
+        self._loads[leaf.name] = load.waiting, now_ms
         self.admission.note_report(SERVICE, leaf.name, load, now_ms)
         caller.result = IN_TIME if now_ms <= caller.deadline_at_ms else LATE
 
@@ -165,8 +173,13 @@
         self.callers: list[Caller] = []
         self.honours_retry_after = True
         self.max_waiting = 0
+        self.held = 0  # requests that the part queued or refused at once
         self.timers.call_every(TICK_MS, self._tick)
 
+    def leaf_count(self, service: str) -> int:
+        """Return the number of leafs that are up."""
+        return sum(not leaf.down for leaf in self.leafs)
+
     def load(self, rank, per_s, from_s, to_s, organisation="") -> None:
         """Let callers of a rank arrive at random during a span."""
         arrivals = Random(f"{rank} {organisation} {from_s}")
