--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -17,6 +17,7 @@
 NODE_FILE_VARIABLE = "SNIPEMOUNT_NODE_FILE"
 DEFAULT_PATH = "/etc/snipemount/local.conf"
 MS_PER_S = 1000.0
+PRESSURE = "pressure"  # in the list of contracts
 
 
 @attrs.frozen
@@ -166,6 +167,8 @@
         Duties that one daemon at a time performs.
     caller_timeouts : ProgressTimeouts
         Times within which callers have to make progress.
+    leafs_under_pressure : bool
+        Whether leafs may be overloaded, so that requests are admitted by their load.
     """
 
     name: str
@@ -183,6 +186,7 @@
     limits: ProcessLimits = ProcessLimits()
     duties: DutySettings = DutySettings()
     caller_timeouts: ProgressTimeouts = ProgressTimeouts()
+    leafs_under_pressure: bool = False
 
 
 def node_file_path() -> str:
@@ -254,6 +258,7 @@
             body_ms=fields.number("limits.body_timeout_ms", 30_000.0),
             stall_ms=fields.number("limits.body_stall_ms", 5_000.0),
         ),
+        leafs_under_pressure=PRESSURE in fields.names("contracts"),
     )
 
 
