--- a/tests/duties/lease.feature
+++ b/tests/duties/lease.feature
@@ -9,7 +9,7 @@
   Scenario: A holder that is cut off while it writes stops before the duty passes on
     Given 3 daemons, one of which holds the duty
     When the holder is cut off for 20000 ms from the moment of a write
-    And 3000 ms pass
+    And 3000 ms of true time pass
     Then the first holder has stopped, and its last save was not confirmed
     And the event duty_lost was logged with reason expired
     And after 2000 ms the duty has passed on with a greater fencing token
@@ -19,8 +19,8 @@
   Scenario: A suspended holder is none when it wakes
     Given 3 daemons, one of which holds the duty
     When the holder is suspended for 10000 ms from the moment of a write
-    And 9990 ms pass
-    And 20 ms pass
+    And 9990 ms of true time pass
+    And 20 ms of true time pass
     Then the first holder has stopped, and its last save was not confirmed
     And after 0 ms the duty has passed on with a greater fencing token
 
@@ -28,7 +28,7 @@
   Scenario: A daemon whose acquisition got no response holds the duty after a renewal
     Given a daemon whose write that acquires the lease gets no response
     Then it is not the holder while it does not know
-    When 2000 ms pass
+    When 2000 ms of true time pass
     Then the same daemon holds it with a greater fencing token
 
   # Guards against a new process that takes the lease of an earlier one for its own, and
@@ -36,7 +36,7 @@
   Scenario Outline: A restarted daemon waits like any other candidate
     Given 1 daemons, one of which holds the duty
     When the holder's process is replaced after <end>
-    And 6000 ms pass
+    And 6000 ms of true time pass
     Then the same daemon holds it with a greater fencing token
     And nobody held it for at least <pause> ms
 
@@ -57,7 +57,7 @@
   Scenario: A spoilt object expires like a lease
     Given 1 daemons, one of which holds the duty
     When another writer spoils the object
-    And 6000 ms pass
+    And 6000 ms of true time pass
     Then the same daemon holds it with a greater fencing token
     And the event duty_lease_unreadable was logged with version 4
     And the event duty_lost was logged with reason unreadable
@@ -71,7 +71,7 @@
     And in 6000 ms each other daemon makes 0 to 0 calls
     And in 6000 ms the first holder makes 6 to 20 calls
     When the holder is cut off for 30000 ms
-    And 5000 ms pass
+    And 5000 ms of true time pass
     Then in 6000 ms each daemon makes 0 to 0 calls
 
   # Guards against a storm of calls, each of which is charged.
@@ -89,5 +89,5 @@
   Scenario: A call that never ends does not end the duty
     Given 1 daemons, one of which holds the duty
     When a call of the holder never ends
-    And 9000 ms pass
+    And 9000 ms of true time pass
     Then the same daemon holds it with a greater fencing token
--- a/tests/steps/duty_steps.py
+++ b/tests/steps/duty_steps.py
@@ -96,7 +96,7 @@
     context.fence = context.first.lease.fence
 
 
-@when("{span_ms:d} ms pass")
+@when("{span_ms:d} ms of true time pass")
 def step_pass(context, span_ms):
     context.world.advance(span_ms)
 
