--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -24,6 +24,13 @@
 from .decisions.fleet.zone_reachability import ZoneReachability
 from .decisions.leafs.leaf_choice import LeafChoice
 from .decisions.leafs.leaf_directory import LeafDirectory
+from .entry_gauges import (
+    add_caller_gauges,
+    add_capacity_gauges,
+    add_directory_gauges,
+    add_leaf_client_gauges,
+    add_overload_gauges,
+)
 from .entry_settings import (
     age_limits,
     cold_limit,
@@ -34,6 +41,8 @@
 from .entry_usage import make_usage
 from .errors import SettingsError
 from .logs import make_logger
+from .platform.caller_bounds import CallerBounds
+from .platform.caller_connections import CallerConnections
 from .platform.caller_server import CallerServer
 from .platform.documents import PlatformDecoders
 from .platform.graceful_stop import StopTimes, stop_serving
@@ -42,10 +51,12 @@
 from .platform.store_client import StoreClient
 from .ports.platform import Kind
 from .ports.store_address import StoreAddress
+from .serving.capacity_watch import CapacityWatch
 from .serving.context import ServingContext
 from .serving.coordinator_links import CoordinatorLinks
 from .serving.delegated_queries import DelegatedQueries
 from .serving.gateway import Gateway
+from .serving.overload_control import OverloadControl
 from .serving.ready_connections import ReadyConnections
 from .serving.request_log import RequestLog
 from .serving.store_feed import StoreFeed
@@ -123,6 +134,10 @@
             RequestLog(self.logger, self._metrics),
             self._coordinators,
         )
+        self._overload = OverloadControl(
+            self._context, self._random, self._admits_by_load
+        )
+        self._context.overload = self._overload
         store = settings.store
         state_limits = age_limits(settings)
         self._store = StoreClient(
@@ -139,6 +154,9 @@
             self._on_relay_message,
             self.logger,
         )
+        self._capacity_watch = CapacityWatch(
+            self._context.directory, self._timers, self.logger
+        )
         self._ready_connections = ReadyConnections(self._context, self.gateway)
         self._store_feed = StoreFeed(
             self._store,
@@ -166,7 +184,14 @@
             self.logger,
         )
         self._caller_server = CallerServer(
-            self.gateway, lambda: self._delegated_queries.in_flight
+            self.gateway,
+            lambda: self._delegated_queries.in_flight,
+            CallerConnections(
+                self._timers,
+                CallerBounds.for_process(settings.limits, settings.caller_timeouts),
+                lambda: self.gateway.limits,
+                self.logger,
+            ),
         )
         self._usage = make_usage(
             settings,
@@ -216,6 +241,7 @@
         self._ready_connections.start()
         if self._usage is not None:
             self._usage.start()
+        self._capacity_watch.start()
         self._timers.call_every(LOG_FLUSH_PERIOD_MS, self._flush_log)
         self._timers.call_every(RELOAD_PERIOD_MS, self._reload)
         self._timers.call_every(ZONE_PROBE_PERIOD_MS, self._context.probe_zones)
@@ -263,29 +289,16 @@
     def _register_gauges(self) -> None:
         gauge = self._metrics.add_gauge
         gateway = self.gateway
-        context = self._context
+        add_directory_gauges(self._metrics, self._context)
+        add_overload_gauges(self._metrics, self._overload)
+        add_capacity_gauges(self._metrics, self._capacity_watch)
+        add_caller_gauges(self._metrics, self._caller_server.connections)
+        add_leaf_client_gauges(self._metrics, self._leaf_client)
         gauge(
             "configuration_version",
             "Version of the configuration in force.",
             lambda: gateway.version,
         )
-        gauge("leafs_known", "Leafs in the directory.", lambda: len(context.directory))
-        gauge(
-            "leaf_removals_held",
-            "Leafs whose entries are gone but kept for the grace time.",
-            lambda: context.directory.pending_removal_count,
-        )
-        gauge(
-            "leafs_limited",
-            "Leafs that state a limit on requests.",
-            lambda: context.directory.limited_count,
-        )
-        gauge("daemons_known", "Registered daemons.", lambda: context.daemon_count)
-        gauge(
-            "zones_cut_off",
-            "Zones that are considered cut off.",
-            lambda: len(context.reachability.cut_off_zones()),
-        )
         gauge(
             "zone_orders_age_ms",
             "Time since the known orders on zones were current for certain.",
@@ -305,21 +318,6 @@
             "Whether queries over all shards are given to another daemon.",
             lambda: float(gateway.delegates),
         )
-        gauge(
-            "leaf_response_bytes",
-            "Bytes held of responses of leafs that are being read.",
-            lambda: self._leaf_client.pending_bytes.held,
-        )
-        gauge(
-            "leaf_responses_given_up",
-            "Responses of leafs that were malformed or exceeded a bound.",
-            lambda: self._leaf_client.pending_bytes.given_up,
-        )
-        gauge(
-            "connections_opened",
-            "Connections opened to leafs.",
-            lambda: self._leaf_client.connections_opened,
-        )
 
     def _flush_log(self) -> None:
         self._log_writer.flush()
@@ -362,6 +360,13 @@
         share = self._context.own_share(limit, leaf.leaf_id, leaf.service)
         return max(1, int(share))
 
+    def _admits_by_load(self) -> bool:
+        configuration = self.gateway.configuration
+        has_organisations = (
+            configuration is not None and configuration.organisations is not None
+        )
+        return self._settings.leafs_under_pressure or has_organisations
+
     def _cold_requests_per_s(self, service: str) -> float:
         traits = self.gateway.traits(service)
         return 0.0 if traits is None else traits.cold_requests_per_s
@@ -373,6 +378,7 @@
         daemons; then the running requests are completed and everything is closed.
         """
         self._delegated_queries.stop()
+        self._overload.stop()
         if self._usage is not None:
             self._usage.prepare_stop()
         await stop_serving(
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -9,6 +9,7 @@
 
 from ..decisions.leafs.leaf_directory import DEFAULT_HEARTBEAT_MS
 from ..errors import SettingsError
+from ..memory.unfinished_requests import ProgressTimeouts
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -16,6 +17,7 @@
 NODE_FILE_VARIABLE = "SNIPEMOUNT_NODE_FILE"
 DEFAULT_PATH = "/etc/snipemount/local.conf"
 MS_PER_S = 1000.0
+PRESSURE = "pressure"  # in the list of contracts
 
 
 @attrs.frozen
@@ -163,6 +165,10 @@
         Limits of the platform on this process.
     duties : DutySettings
         Duties that one daemon at a time performs.
+    caller_timeouts : ProgressTimeouts
+        Times within which callers have to make progress.
+    leafs_under_pressure : bool
+        Whether leafs may be overloaded, so that requests are admitted by their load.
     """
 
     name: str
@@ -179,6 +185,8 @@
     bounds: GuaranteeBounds
     limits: ProcessLimits = ProcessLimits()
     duties: DutySettings = DutySettings()
+    caller_timeouts: ProgressTimeouts = ProgressTimeouts()
+    leafs_under_pressure: bool = False
 
 
 def node_file_path() -> str:
@@ -246,6 +254,11 @@
             max_descriptors=int(fields.number("limits.max_fds", 0.0)),
         ),
         duties=_duties(fields),
+        caller_timeouts=ProgressTimeouts(
+            body_ms=fields.number("limits.body_timeout_ms", 30_000.0),
+            stall_ms=fields.number("limits.body_stall_ms", 5_000.0),
+        ),
+        leafs_under_pressure=PRESSURE in fields.names("contracts"),
     )
 
 
