Settings of a duty are checked when the file is read

Cause: bounds.lease_ms of 0 or less, or bounds.report_window_s of 0, ended the process at its start with a ValueError or ZeroDivisionError; a window below a sixtieth of bounds.usage_late_s made collectors write objects with more windows than are read, and a negative cloud_api.duty_per_s meant no limit.

Change: parse_node_file refuses them with a SettingsError that names the key.

--- a/src/snipemount/entry_usage.py
+++ b/src/snipemount/entry_usage.py
@@ -118,7 +118,7 @@
             timers,
             USAGE_REPORT,
             name,
-            int(duties.lease_ms),
+            duties.lease_ms,
             self._may_stand,
             self.duty,
             random,
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import os
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..decisions.leafs.leaf_directory import DEFAULT_HEARTBEAT_MS
+from ..duties.record import MAX_LEASE_MS
 from ..errors import SettingsError
 from ..memory.unfinished_requests import ProgressTimeouts
 
@@ -18,6 +20,9 @@
 DEFAULT_PATH = "/etc/snipemount/local.conf"
 MS_PER_S = 1000.0
 PRESSURE = "pressure"  # in the list of contracts
+# Windows of the usage report whose report may be due at a time: a stored object with
+# counts holds no more.
+MAX_DUE_WINDOWS = 60
 
 
 @attrs.frozen
@@ -72,7 +77,7 @@
         Where they are performed.
     calls_per_s : float
         Calls there that all daemons together may make per second; 0 for no limit.
-    lease_ms : float
+    lease_ms : int
         Time in which no second daemon may act.
     report_window_ms : float
         Length of a window of the usage report.
@@ -83,7 +88,7 @@
     names: frozenset[str] = frozenset()
     address: Endpoint | None = None
     calls_per_s: float = 0.0
-    lease_ms: float = 3000.0
+    lease_ms: int = 3000
     report_window_ms: float = 5000.0
     report_due_ms: float = 10_000.0
 
@@ -266,13 +271,20 @@
     names = fields.names("cloud_api.duties")
     if not names:
         return DutySettings()
+    window_s = fields.positive("bounds.report_window_s", 5.0)
+    due_s = fields.positive("bounds.usage_late_s", 10.0)
+    if due_s > MAX_DUE_WINDOWS * window_s:
+        raise SettingsError(
+            f"bounds.report_window_s: {window_s:g} is less than bounds.usage_late_s "
+            f"({due_s:g}) / {MAX_DUE_WINDOWS}"
+        )
     return DutySettings(
         names=names,
         address=fields.endpoint("cloud_api.address"),
-        calls_per_s=fields.number("cloud_api.duty_per_s", 0.0),
-        lease_ms=fields.number("bounds.lease_ms", 3000.0),
-        report_window_ms=fields.number("bounds.report_window_s", 5.0) * MS_PER_S,
-        report_due_ms=fields.number("bounds.usage_late_s", 10.0) * MS_PER_S,
+        calls_per_s=fields.limit("cloud_api.duty_per_s"),
+        lease_ms=fields.whole("bounds.lease_ms", 3000, MAX_LEASE_MS),
+        report_window_ms=window_s * MS_PER_S,
+        report_due_ms=due_s * MS_PER_S,
     )
 
 
@@ -304,6 +316,25 @@
         except ValueError:
             raise SettingsError(f"{key}: {value!r} is not a number") from None
 
+    def positive(self, key: str, default: float) -> float:
+        value = self.number(key, default)
+        if not (math.isfinite(value) and value > 0.0):
+            raise SettingsError(f"{key}: {value:g} is not a positive number")
+        return value
+
+    def limit(self, key: str) -> float:
+        """Return a limit; 0 for none."""
+        return self.positive(key, 0.0) if self.number(key, 0.0) != 0.0 else 0.0
+
+    def whole(self, key: str, default: int, maximum: int) -> int:
+        """Return a whole number between 1 and `maximum`."""
+        value = self.number(key, float(default))
+        if not (1.0 <= value <= maximum and value.is_integer()):
+            raise SettingsError(
+                f"{key}: {value:g} is not a whole number from 1 to {maximum}"
+            )
+        return int(value)
+
     def flag(self, key: str) -> bool:
         return self._fields.get(key, "").lower() == "true"
 
--- a/tests/steps/boundary_steps.py
+++ b/tests/steps/boundary_steps.py
@@ -134,3 +134,15 @@
         assert key in error.detail
         return
     raise AssertionError(f"a settings file without {key} was accepted")
+
+
+@then("a settings file with a duty and {line} is refused, naming {key}")
+def step_duty_settings(context, line, key):
+    duty = "cloud_api.duties=usage_report\ncloud_api.address=10.200.1.7:8109\n"
+    assert parse_node_file(FILE + duty).duties.lease_ms == 3000
+    try:
+        parse_node_file(f"{FILE}{duty}{line}\n")
+    except SettingsError as error:
+        assert error.detail.startswith(f"{key}: "), error.detail
+        return
+    raise AssertionError(f"{line} was accepted")
