Usage duty: the holder stays when the service refuses all, and an outage is skipped at once

Cause 1: responses 429 and 5xx for 4 s made the holder stand back; the next one gets the same response, and the change costs a window. Cause 2: after an outage windows were given up one in 100 ms, so that those due meanwhile were late too: 72 s after an outage of an hour. Cause 3: a record of the sent report that was not confirmed let the plan go on to the next window, and a new holder could repeat the earlier report after it.

Change: 429 and 5xx are retried with backoff and Retry-After, without standing back; other statuses, timeouts and failed listings count as before. All late windows are given up in one step; usage_given_up names first and last. The record is saved until it is confirmed or the lease lost.

--- a/src/snipemount/ports/usage.py
+++ b/src/snipemount/ports/usage.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+# Statuses of HTTP.
+TOO_MANY_REQUESTS = 429
+SERVER_ERRORS = 500  # and above
+
 
 @attrs.frozen
 class ReportAccepted:
@@ -31,6 +35,15 @@
     status: int
     retry_after_ms: float = 0.0
 
+    @property
+    def concerns_all(self) -> bool:
+        """Whether another daemon would get the same response.
+
+        So it is when calls are too many or the service has a fault, but not when it
+        does not take the holder's name or fencing token.
+        """
+        return self.status == TOO_MANY_REQUESTS or self.status >= SERVER_ERRORS
+
 
 @attrs.frozen
 class ReportUnanswered:
--- a/src/snipemount/usage/report_plan.py
+++ b/src/snipemount/usage/report_plan.py
@@ -53,14 +53,23 @@
 
 
 @attrs.frozen
-class GiveUpWindow:
-    """A window's report would be late; it is not sent any more."""
+class GiveUpWindows:
+    """Reports that would be late; they are not sent any more.
 
-    window: int
+    Parameters
+    ----------
+    first, last : int
+        Numbers of the windows.
+    had_counts : bool
+        Whether the report of the first one was ready.
+    """
+
+    first: int
+    last: int
     had_counts: bool
 
 
-Action = Wait | ListCounts | SaveCheckpoint | SendReport | GiveUpWindow
+Action = Wait | ListCounts | SaveCheckpoint | SendReport | GiveUpWindows
 
 
 class _Phase(Enum):
@@ -73,8 +82,8 @@
 class ReportPlan:
     """Windows in order: collect, save the checkpoint, send until it is taken.
 
-    One action at a time: each one but `Wait` and `GiveUpWindow` ends with a call of the
-    method for its result. All times are true times.
+    One action at a time: each one but `Wait` and `GiveUpWindows` ends with a call of
+    the method for its result. All times are true times.
 
     Parameters
     ----------
@@ -126,14 +135,14 @@
         if self._is_busy:
             return Wait()
         if self._phase is _Phase.RECORD:
+            if now_ms < self._next_ms:
+                return Wait()
             self._is_busy = True
             return SaveCheckpoint(
                 ReportCheckpoint(self._window, self._counts, sent=True)
             )
         if self._times.is_past_due(self._window, now_ms):
-            given_up = GiveUpWindow(self._window, self._phase is not _Phase.COLLECT)
-            self._begin(self._window + 1)
-            return given_up
+            return self._give_up(now_ms)
         if now_ms < max(self._next_ms, self._first_listing_ms):
             return Wait()
         self._is_busy = True
@@ -145,6 +154,16 @@
             case _:
                 return SendReport(self._window, self._counts)
 
+    def _give_up(self, now_ms: float) -> GiveUpWindows:
+        """Go on with the first window whose report would be in time.
+
+        All at once: after an outage the duty would else be late for further windows.
+        """
+        first, next_window = self._window, self._times.first_due(now_ms)
+        had_counts = self._phase is not _Phase.COLLECT
+        self._begin(next_window)
+        return GiveUpWindows(first, next_window - 1, had_counts)
+
     def listed(self, report: WindowReport, now_ms: float) -> bool:
         """Take the counts of a listing.
 
@@ -167,24 +186,35 @@
     def saved(self, confirmed: bool, now_ms: float) -> None:
         """Take the result of saving a checkpoint; one not confirmed is saved again."""
         self._is_busy = False
-        if self._phase is _Phase.RECORD:
-            # Not confirmed: the next holder would repeat the report, which is harmless.
+        if not confirmed:
+            self._next_ms = now_ms + MIN_BACKOFF_MS
+        elif self._phase is _Phase.RECORD:
             self._begin(self._window + 1)
-        elif confirmed:
-            self._phase = _Phase.SEND
         else:
-            self._next_ms = now_ms + MIN_BACKOFF_MS
+            self._phase = _Phase.SEND
 
     def accepted(self) -> None:
         """Record that the report was taken."""
         self._succeeded()
-        self._phase = _Phase.RECORD
+        self._phase, self._next_ms = _Phase.RECORD, 0.0
 
-    def failed(self, now_ms: float, retry_after_ms: float = 0.0) -> None:
+    def failed(self, now_ms: float) -> None:
         """Record that a listing or a send has failed; it is tried again later."""
-        self._is_busy = False
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms
+        self._retry_later(now_ms, 0.0)
+
+    def refused(self, now_ms: float, retry_after_ms: float) -> None:
+        """Record that the service takes no report from any daemon for now.
+
+        It responds to this daemon, so another holder would get the same, and nobody
+        would report while the duty passes on.
+        """
+        self._failing_since_ms = None
+        self._retry_later(now_ms, retry_after_ms)
+
+    def _retry_later(self, now_ms: float, retry_after_ms: float) -> None:
+        self._is_busy = False
         limit_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2.0**self._failures)
         self._failures = min(self._failures + 1, 8)
         delay_ms = self._random.uniform(0.0, limit_ms)
@@ -225,7 +255,7 @@
 
 __all__ = [
     "Action",
-    "GiveUpWindow",
+    "GiveUpWindows",
     "ListCounts",
     "ReportPlan",
     "SaveCheckpoint",
--- a/src/snipemount/usage/usage_duty.py
+++ b/src/snipemount/usage/usage_duty.py
@@ -11,7 +11,7 @@
 from ..ports.usage import ReportAccepted, ReportRejected, ReportUnanswered
 from .report_checkpoint import decode_checkpoint, encode_checkpoint
 from .report_plan import (
-    GiveUpWindow,
+    GiveUpWindows,
     ListCounts,
     ReportPlan,
     SaveCheckpoint,
@@ -171,10 +171,10 @@
                 self._save(encode_checkpoint(checkpoint))
             case SendReport(window, counts):
                 self._send(window, counts)
-            case GiveUpWindow(window, had_counts):
-                self.given_up += 1
+            case GiveUpWindows(first, last, had_counts):
+                self.given_up += last - first + 1
                 self._logger.error(
-                    "usage_given_up", window=window, had_counts=had_counts
+                    "usage_given_up", window=first, last=last, had_counts=had_counts
                 )
 
     def _abort_outlived_call(self) -> None:
@@ -265,17 +265,24 @@
                 self.reported += 1
                 self._plan.accepted()
                 self._logger.info("usage_reported", window=window)
-            case ReportRejected(status, retry_after_ms):
-                self._fail("send", f"status {status}", retry_after_ms)
+            case ReportRejected(status, retry_after_ms) as rejected:
+                if rejected.concerns_all:
+                    self._plan.refused(self._clock.now_ms(), retry_after_ms)
+                    self._log_failure("send", f"status {status}")
+                else:
+                    self._fail("send", f"status {status}")
             case ReportUnanswered(detail):
                 self._fail("send", detail)
 
-    def _fail(self, call: str, reason: str, retry_after_ms: float = 0.0) -> None:
-        now_ms = self._clock.now_ms()
-        self._plan.failed(now_ms, retry_after_ms)
+    def _log_failure(self, call: str, reason: str) -> None:
         self._logger.warning(
             "usage_call_failed", call=call, window=self._plan.window, reason=reason
         )
+
+    def _fail(self, call: str, reason: str) -> None:
+        now_ms = self._clock.now_ms()
+        self._plan.failed(now_ms)
+        self._log_failure(call, reason)
         if self._plan.should_stand_back(now_ms) and self.lease is not None:
             self._plan.stood_back()
             self.lease.stand_back(f"{call}: {reason}")
--- a/tests/steps/usage_merge_steps.py
+++ b/tests/steps/usage_merge_steps.py
@@ -31,7 +31,7 @@
 from snipemount.timers import VirtualTimers
 from snipemount.usage.report_checkpoint import ReportCheckpoint
 from snipemount.usage.report_plan import (
-    GiveUpWindow,
+    GiveUpWindows,
     ListCounts,
     ReportPlan,
     SaveCheckpoint,
@@ -391,10 +391,13 @@
                     assert sent.setdefault(window, counts) == counts
                     if random.random() < 0.6:
                         plan.accepted()
-                    else:
+                    elif random.random() < 0.5:
                         plan.failed(now_ms)
-                case GiveUpWindow(window):
-                    assert times.is_past_due(window, now_ms)
+                    else:
+                        plan.refused(now_ms, random.choice((0.0, 900.0)))
+                case GiveUpWindows(first, last):
+                    assert times.is_past_due(last, now_ms)
+                    assert first <= last and not times.is_past_due(last + 1, now_ms)
         assert list(sent) == sorted(sent)
 
     check()
--- a/tests/steps/usage_report_steps.py
+++ b/tests/steps/usage_report_steps.py
@@ -280,9 +280,26 @@
     assert context.usage.holder is not context.before
 
 
+@then("the same daemon holds the duty, and has acquired it once")
+def step_same_holder(context):
+    assert context.usage.holder is context.before
+    assert len(context.usage.lines("duty_acquired")) == 1
+
+
+@when("all daemons are cut off from the store for {span_s:g} s")
+def step_all_cut_off(context, span_s):
+    world = context.usage
+    for daemon in world.daemons:
+        daemon.platform.cut_off = True
+    world.run_for(span_s * 1000.0)
+    for daemon in world.daemons:
+        daemon.platform.cut_off = False
+
+
 @then("some windows were given up, and logged")
 def step_given_up(context):
     lines = context.usage.lines("usage_given_up")
-    windows = [line["window"] for line in lines]
+    windows = [w for line in lines for w in range(line["window"], line["last"] + 1)]
     assert windows, "no window was given up"
+    assert len(set(windows)) == len(windows), windows
     assert not set(windows) & set(context.usage.service.taken), windows
--- a/tests/usage/report.feature
+++ b/tests/usage/report.feature
@@ -104,6 +104,38 @@
       | 429    |
       | 500    |
 
+  # Another daemon would get the same response, and nobody would report meanwhile.
+  Scenario Outline: The service responds <status> for 9 s: the holder stays
+    When 31 s pass
+    And the service responds <status> from now on
+    And 11 s pass
+    And the service responds 200 from now on
+    And 20 s pass
+    Then the same daemon holds the duty, and has acquired it once
+    And windows 6 to 10 were reported exactly
+
+    Examples:
+      | status |
+      | 429    |
+      | 503    |
+
+  # Its name or token may not be taken, while those of another daemon are.
+  Scenario: The service responds 403 to the holder: another daemon takes over
+    When 31 s pass
+    And the service responds 403 from now on
+    And 8 s pass
+    And the service responds 200 from now on
+    And 20 s pass
+    Then another daemon holds the duty
+
+  # Windows of the outage that are given up one by one make later windows late too.
+  Scenario: After an outage of the store for an hour the next windows are reported
+    When 31 s pass
+    And all daemons are cut off from the store for 3600 s
+    And 40 s pass
+    Then some windows were given up, and logged
+    And windows 728 to 731 were reported exactly
+
   Scenario: The holder alone does not reach the service: another daemon takes over
     When 31 s pass
     And the holder does not reach the service any more
