Counts for the relay have one encoding, the JSON text frame

Cause: RelayUsage could be encoded both as a CBOR message, which nothing sent, and as a JSON text frame, which is what followers send. Each text that could not be read was a log line, with no bound on their rate.

Change: adapters/usage_codec.py has the text frame alone; RelayUsage is no RelayMessage any more, and a text can carry nothing else. One relay_text_dropped line a second at most.

--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -1,13 +1,7 @@
-"""Codec for the messages of the relay between daemons.
-
-Messages are CBOR in binary frames. Those of follower to relay that earlier builds don't
-know are JSON in text frames, which such a build ignores; a binary frame that it cannot
-decode would make it disconnect the follower.
-"""
+"""CBOR codec for the messages of the relay between daemons."""
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import cbor2
@@ -24,10 +18,8 @@
     RelayMessage,
     RelayRemoval,
     RelayStoreLost,
-    RelayUsage,
     SlowLeaf,
 )
-from ..model.usage import checked_count, checked_name, checked_window
 from ..ports.platform import Kind, StoredObject
 
 LISTING = 0
@@ -38,8 +30,6 @@
 HEARTBEAT = 5
 EVIDENCE = 6
 BATCH = 7
-USAGE = 8
-MAX_USAGE_COUNTS = 2000  # organisations in a message
 # Estimates are sent as whole percent and tenths.
 PER_RATIO = 100.0
 PER_LIMIT = 10.0
@@ -57,25 +47,6 @@
     return cbor2.dumps([BATCH, frames])
 
 
-def encode_relay_text(message: RelayMessage) -> str:
-    """Encode a message as a text frame."""
-    return json.dumps(_encode_message(message), separators=(",", ":"))
-
-
-def decode_relay_text(frame: str) -> RelayMessage:
-    """Decode the message in a text frame.
-
-    Raises
-    ------
-    DecodeError
-        When the frame is not JSON or not a message of the relay.
-    """
-    try:
-        return _decode_message(json.loads(frame))
-    except MALFORMED_INPUT_ERRORS as error:
-        raise DecodeError(f"relay: {error!r}") from error
-
-
 def decode_batch(frame: bytes) -> list[RelayMessage]:
     """Decode the messages in a frame of one or several.
 
@@ -110,8 +81,6 @@
             return [HEARTBEAT]
         case RelayEvidence():
             return [EVIDENCE, _encode_evidence(message)]
-        case RelayUsage(daemon, run, window, closed, counts):
-            return [USAGE, daemon, run, window, closed, [list(c) for c in counts]]
 
 
 def decode_relay(frame: bytes) -> RelayMessage:
@@ -151,27 +120,9 @@
             return RelayHeartbeat()
         case [6, leafs]:
             return _decode_evidence(leafs)
-        case [8, daemon, run, window, closed, counts]:
-            return _decode_usage(daemon, run, window, closed, counts)
     raise ValueError("unknown message type or wrong number of fields")
 
 
-def _decode_usage(
-    daemon: Any, run: Any, window: Any, closed: Any, counts: Any
-) -> RelayUsage:
-    if not isinstance(closed, bool):
-        raise TypeError(f"closed: {closed!r} is not a boolean")
-    if len(counts) > MAX_USAGE_COUNTS:
-        raise ValueError(f"{len(counts)} counts are more than {MAX_USAGE_COUNTS}")
-    return RelayUsage(
-        checked_name(daemon),
-        checked_name(run),
-        checked_window(window),
-        closed,
-        tuple((checked_name(name), checked_count(number)) for name, number in counts),
-    )
-
-
 def _encode_evidence(evidence: RelayEvidence) -> list[Any]:
     """Return pairs, of which a build that knows only slow leafs ignores the others.
 
@@ -242,9 +193,7 @@
     "decode_batch",
     "decode_object",
     "decode_relay",
-    "decode_relay_text",
     "encode_batch",
     "encode_object",
     "encode_relay",
-    "encode_relay_text",
 ]
--- a/src/snipemount/adapters/relay_websocket.py
+++ b/src/snipemount/adapters/relay_websocket.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import TYPE_CHECKING
 
 from websockets.asyncio.server import broadcast
@@ -20,11 +21,10 @@
 from .relay_codec import (
     decode_batch,
     decode_relay,
-    decode_relay_text,
     encode_batch,
     encode_relay,
-    encode_relay_text,
 )
+from .usage_codec import decode_usage, encode_usage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,13 +33,14 @@
     from websockets.asyncio.client import ClientConnection
     from websockets.asyncio.server import Server, ServerConnection
 
-    from ..model.relay import RelayMessage
+    from ..model.relay import FollowerMessage, RelayMessage
     from ..ports.platform import Kind
     from ..ports.relay import DaemonAddress
 
 RECEIVE_TIMEOUT_S = 1.5  # three missed `RelayHeartbeat` messages
 MAX_UNSENT_BYTES = 2**22  # per follower
 LEAVE_TIMEOUT_S = 0.05
+LOG_PERIOD_S = 1.0  # of lines about dropped texts
 # Asked for by followers that read several messages in one frame; earlier builds don't.
 BATCHES_PATH = "/batches"
 
@@ -66,7 +67,7 @@
         host: str,
         port: int,
         snapshot: Callable[[], list[RelayMessage]],
-        on_report: Callable[[RelayMessage], None],
+        on_report: Callable[[FollowerMessage], None],
         logger: FilteringBoundLogger,
     ) -> None:
         self._on_report = on_report
@@ -81,6 +82,7 @@
         self._encoded_listings: dict[Kind, tuple[RelayListing, bytes]] = {}
         self._server: Server | None = None
         self._receive_task: asyncio.Task[None] | None = None
+        self._dropped_s = -math.inf  # time of the last line about a dropped text
 
     async def listen(self) -> None:
         """Start to listen for followers."""
@@ -146,12 +148,12 @@
         batch = frames[0] if len(frames) == 1 else encode_batch(frames)
         broadcast(self._batch_followers, batch)
 
-    def report(self, message: RelayMessage) -> None:
+    def report(self, message: FollowerMessage) -> None:
         """Send a message to the daemon that is followed, if any."""
         if self._followed_connection is None:
             return
         if isinstance(message, RelayUsage):
-            frame: bytes | str = encode_relay_text(message)
+            frame: bytes | str = encode_usage(message)
         else:
             frame = encode_relay(message)
         broadcast([self._followed_connection], frame)
@@ -195,14 +197,17 @@
             followers.discard(connection)
 
     def _on_text(self, frame: str) -> None:
-        """Pass on a message in a text frame; one that cannot be read is dropped.
+        """Pass on the counts in a text frame; a text that cannot be read is dropped.
 
         The follower stays: a later build may send what this one does not know.
         """
         try:
-            message = decode_relay_text(frame)
+            message = decode_usage(frame)
         except DecodeError as error:
-            self._logger.warning("relay_text_dropped", reason=error.detail[:200])
+            now_s = asyncio.get_running_loop().time()
+            if now_s - self._dropped_s >= LOG_PERIOD_S:
+                self._dropped_s = now_s
+                self._logger.warning("relay_text_dropped", reason=error.detail)
             return
         self._on_report(message)
 
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -66,7 +66,7 @@
     from aiohttp.web_request import BaseRequest
 
     from .model.leaf import Leaf
-    from .model.relay import RelayMessage
+    from .model.relay import FollowerMessage, RelayMessage
 
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 METRICS_PATH = "/metrics"
@@ -268,7 +268,7 @@
     def _relay_snapshot(self) -> list[RelayMessage]:
         return self._store_feed.snapshot()
 
-    def _on_relay_message(self, message: RelayMessage) -> None:
+    def _on_relay_message(self, message: FollowerMessage) -> None:
         self._store_feed.on_follower_message(message)
 
     async def _serve_readiness(self, request: BaseRequest) -> Response:
--- a/src/snipemount/model/relay.py
+++ b/src/snipemount/model/relay.py
@@ -150,10 +150,11 @@
     | RelayStoreLost
     | RelayHeartbeat
     | RelayEvidence
-    | RelayUsage
 )
+FollowerMessage = RelayMessage | RelayUsage
 
 __all__ = [
+    "FollowerMessage",
     "LeafEstimate",
     "RelayChange",
     "RelayConfirmation",
--- a/src/snipemount/ports/relay.py
+++ b/src/snipemount/ports/relay.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..model.relay import RelayMessage
+    from ..model.relay import FollowerMessage, RelayMessage
 
 
 @attrs.frozen
@@ -77,7 +77,7 @@
         """Send a message to all followers."""
 
     @abstractmethod
-    def report(self, message: RelayMessage) -> None:
+    def report(self, message: FollowerMessage) -> None:
         """Send a message to the daemon that is followed, if there is one."""
 
 
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -39,7 +39,7 @@
     from structlog.typing import FilteringBoundLogger
 
     from ..decisions.fleet.state_age import StateAgeLimits
-    from ..model.relay import RelayMessage
+    from ..model.relay import FollowerMessage, RelayMessage
     from ..ports.platform import ListResult, PlatformPort, StoredObject
     from ..ports.relay import DaemonAddress, RelayPort
     from .context import ServingContext
@@ -224,7 +224,7 @@
             messages.append(RelayConfirmation(kind.kind, kind.version, age_ms))
         return messages + lost
 
-    def on_follower_message(self, message: RelayMessage) -> None:
+    def on_follower_message(self, message: FollowerMessage) -> None:
         """Apply what a follower reports; forward evidence with this daemon's own."""
         match message:
             case RelayEvidence():
--- a/src/snipemount/standins/local_relay.py
+++ b/src/snipemount/standins/local_relay.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING
 
 from ..adapters.relay_codec import decode_relay, encode_relay
+from ..adapters.usage_codec import decode_usage, encode_usage
+from ..model.relay import RelayUsage
 from ..ports.relay import RelayPort
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..model.relay import RelayMessage
+    from ..model.relay import FollowerMessage, RelayMessage
     from ..ports.relay import DaemonAddress
     from ..timers import TimerService
 
@@ -36,7 +38,7 @@
         self,
         host: str,
         snapshot: Callable[[], list[RelayMessage]],
-        on_report: Callable[[RelayMessage], None],
+        on_report: Callable[[FollowerMessage], None],
     ) -> LocalRelay:
         """Add a daemon and return its relay.
 
@@ -63,7 +65,7 @@
         network: LocalRelayNetwork,
         host: str,
         snapshot: Callable[[], list[RelayMessage]],
-        on_report: Callable[[RelayMessage], None],
+        on_report: Callable[[FollowerMessage], None],
     ) -> None:
         self._on_report = on_report
         self._network = network
@@ -124,16 +126,18 @@
             for follower in list(self._followers):
                 self._send(follower, message)
 
-    def report(self, message: RelayMessage) -> None:
+    def report(self, message: FollowerMessage) -> None:
         """Send a message to the followed daemon; do nothing when there is none."""
         followed = self._followed
         if followed is None or self.frozen or followed.frozen:
             return
-        frame = encode_relay(message)
+        received: FollowerMessage
+        if isinstance(message, RelayUsage):
+            received = decode_usage(encode_usage(message))
+        else:
+            received = decode_relay(encode_relay(message))
         timers = self._network.timers
-        timers.call_later(
-            NETWORK_DELAY_MS, lambda: followed._on_report(decode_relay(frame))
-        )
+        timers.call_later(NETWORK_DELAY_MS, lambda: followed._on_report(received))
 
     def kill(self) -> None:
         """Crash the daemon; its followers get the end of their connection."""
