A usage report is not sent after a suspension between its check and its start

Cause: the client counted a call's time from the first turn of its task. A VM suspended after the check of the lease and before that turn sent the report when it woke, though the lease had ended.

Change: the end of the call is fixed when it is asked for, by the boot-time clock.

--- a/src/snipemount/platform/usage_client.py
+++ b/src/snipemount/platform/usage_client.py
@@ -73,7 +73,9 @@
         """Send the report of a window; `done` gets the result."""
         headers = {HOLDER_HEADER: holder, FENCE_HEADER: str(fence)}
         body = {"window": window, "counts": dict(counts)}
-        task = asyncio.ensure_future(self._run(headers, body, timeout_ms, done))
+        # The caller has checked its lease now, not when the task begins to run.
+        end_ms = self._timers.boot_ms() + timeout_ms
+        task = asyncio.ensure_future(self._run(headers, body, end_ms, done))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return PendingReport(task)
@@ -90,25 +92,28 @@
         self,
         headers: dict[str, str],
         body: dict[str, object],
-        timeout_ms: float,
+        end_ms: float,
         done: Callable[[ReportResult], None],
     ) -> None:
         try:
-            result = await self._post(headers, body, timeout_ms)
+            result = await self._post(headers, body, end_ms)
         except CALL_ERRORS as error:
             result = ReportUnanswered(type(error).__name__)
         done(result)
 
     async def _post(
-        self, headers: dict[str, str], body: dict[str, object], timeout_ms: float
+        self, headers: dict[str, str], body: dict[str, object], end_ms: float
     ) -> ReportResult:
+        left_ms = end_ms - self._timers.boot_ms()
+        if left_ms <= 0.0:
+            raise TimeoutError("the time of the call passed before it began")
         async with self._client().post(
             self._url,
             json=body,
             headers=headers,
-            timeout=aiohttp.ClientTimeout(total=timeout_ms / MS_PER_S),
+            timeout=aiohttp.ClientTimeout(total=left_ms / MS_PER_S),
             allow_redirects=False,
-            trace_request_ctx=self._timers.boot_ms() + timeout_ms,
+            trace_request_ctx=end_ms,
         ) as response:
             if response.status == 200:
                 return ReportAccepted()
--- a/tests/steps/usage_merge_steps.py
+++ b/tests/steps/usage_merge_steps.py
@@ -353,14 +353,26 @@
     assert post(server, 1, use=lambda call: call.cancel()) == []
 
     class Suspended(VirtualTimers):
-        """Boot time that passes by 10 s with each look."""
+        """Boot time that passes by 10 s before one of the looks at it."""
+
+        def __init__(self, look) -> None:
+            super().__init__()
+            self.looks_left = look
 
         def boot_ms(self):
-            """Return a later time at each call."""
-            self.suspend(10_000.0)
+            """Return the time, from one look on a later one."""
+            if self.looks_left == 0:
+                self.suspend(10_000.0)
+            self.looks_left -= 1
             return super().boot_ms()
 
-    (result,) = post(server, 1, Suspended())
+    for look in (1, 2):  # when the call begins to run, and when it is connected
+        (result,) = post(server, 1, Suspended(look))
+        assert isinstance(result, ReportUnanswered), look
+        assert not server.requests, look
+    # Between the check of the lease and the first turn of the task.
+    timers = VirtualTimers()
+    (result,) = post(server, 1, timers, lambda call: timers.suspend(10_000.0))
     assert isinstance(result, ReportUnanswered)
     assert not server.requests
 
