A process that states too many organisations hides no other process

Cause: messages of one process could add organisations without end, and an object with more than 2,000 in all, or 2,000 daemons in a window, is not read: one faulty process hid the counts of its whole zone.

Change: a process has at most 2,000 organisations in a window; an object leaves out the processes with the most where it would have more. One limit on organisations (model/usage.py) and one on processes.

--- a/src/snipemount/adapters/usage_codec.py
+++ b/src/snipemount/adapters/usage_codec.py
@@ -11,10 +11,14 @@
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..model.relay import RelayUsage
-from ..model.usage import checked_count, checked_name, checked_window
+from ..model.usage import (
+    MAX_ORGANISATIONS,
+    checked_count,
+    checked_name,
+    checked_window,
+)
 
 USAGE = "usage"  # first field; text frames of later builds may be others
-MAX_ORGANISATIONS = 2000  # in a message
 
 
 def encode_usage(usage: RelayUsage) -> str:
@@ -54,4 +58,4 @@
     )
 
 
-__all__ = ["MAX_ORGANISATIONS", "decode_usage", "encode_usage"]
+__all__ = ["decode_usage", "encode_usage"]
--- a/src/snipemount/model/usage.py
+++ b/src/snipemount/model/usage.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 MAX_NAME_LENGTH = 256
+MAX_ORGANISATIONS = 2000  # of one process in one window, and of a stored object
 MAX_NUMBER = 2**53  # whole numbers up to it are exact in any JSON decoder
 
 
@@ -49,4 +50,4 @@
     return checked_count(value)
 
 
-__all__ = ["checked_count", "checked_name", "checked_window"]
+__all__ = ["MAX_ORGANISATIONS", "checked_count", "checked_name", "checked_window"]
--- a/src/snipemount/usage/stored_counts.py
+++ b/src/snipemount/usage/stored_counts.py
@@ -7,30 +7,39 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..errors import MALFORMED_INPUT_ERRORS
-from ..model.usage import checked_count, checked_name, checked_window
-from .usage_collection import UsageCollection
+from ..model.usage import (
+    MAX_ORGANISATIONS,
+    checked_count,
+    checked_name,
+    checked_window,
+)
+from .usage_collection import MAX_RUNS, UsageCollection
+
+if TYPE_CHECKING:
+    from .usage_collection import Run
 
-MAX_ORGANISATIONS = 2000
-MAX_DAEMONS = 2000  # of one collector, in one window
 MAX_WINDOWS = 64
 MAX_FAULTS = 4  # that are stated of one object
 
 
 def encode_counts(collection: UsageCollection) -> dict[str, Any]:
-    """Return the document of a collection."""
+    """Return the document of a collection.
+
+    Processes with the most organisations are left out where there would be too many
+    of these together, so that a faulty process does not hide the counts of others.
+    """
     windows = {number: collection.runs(number) for number in collection.windows}
-    names: set[str] = set()
-    for runs in windows.values():
-        for run in runs.values():
-            names.update(run.counts)
+    names, left_out = _organisations_of(collection)
     organisations = sorted(names)
     encoded: dict[str, dict[str, dict[str, Any]]] = {}
     for number, runs in windows.items():
         daemons = encoded.setdefault(str(number), {})
         for (daemon, run_id), run in sorted(runs.items()):
+            if (daemon, run_id) in left_out:
+                continue
             counts = [run.counts.get(name, 0) for name in organisations]
             while counts and not counts[-1]:
                 counts.pop()
@@ -41,6 +50,24 @@
     return {"organisations": organisations, "windows": encoded}
 
 
+def _organisations_of(
+    collection: UsageCollection,
+) -> tuple[set[str], set[Run]]:
+    """Return the organisations to state, and the processes to leave out."""
+    of_runs: dict[Run, set[str]] = {}
+    for number in collection.windows:
+        for run, counts in collection.runs(number).items():
+            of_runs.setdefault(run, set()).update(counts.counts)
+    names: set[str] = set()
+    left_out: set[Run] = set()
+    for run, of_run in sorted(of_runs.items(), key=lambda item: len(item[1])):
+        if len(names | of_run) > MAX_ORGANISATIONS:
+            left_out.add(run)
+        else:
+            names |= of_run
+    return names, left_out
+
+
 def decode_counts(
     document: dict[str, Any], into: UsageCollection, first: int, last: int
 ) -> list[str]:
@@ -92,8 +119,8 @@
     into: UsageCollection,
     faults: list[str],
 ) -> None:
-    if not isinstance(daemons, dict) or len(daemons) > MAX_DAEMONS:
-        faults.append(f"window {window}: not a map of at most {MAX_DAEMONS} daemons")
+    if not isinstance(daemons, dict) or len(daemons) > MAX_RUNS:
+        faults.append(f"window {window}: not a map of at most {MAX_RUNS} daemons")
         return
     for daemon, runs in daemons.items():
         try:
--- a/src/snipemount/usage/usage_collection.py
+++ b/src/snipemount/usage/usage_collection.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ..model.usage import MAX_ORGANISATIONS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -31,7 +33,17 @@
     counts: dict[str, int] = attrs.field(factory=dict)
 
     def merge(self, closed: bool, counts: Iterable[tuple[str, int]]) -> bool:
-        """Take the larger of the counts; return whether anything has changed."""
+        """Take the larger of the counts; return whether anything has changed.
+
+        Raises
+        ------
+        ValueError
+            When there are too many organisations; nothing has changed then.
+        """
+        counts = tuple(counts)
+        added = sum(name not in self.counts for name, _ in counts)
+        if len(self.counts) + added > MAX_ORGANISATIONS:
+            raise ValueError(f"more than {MAX_ORGANISATIONS} organisations")
         changed = closed and not self.closed
         self.closed = self.closed or closed
         for organisation, number in counts:
@@ -84,7 +96,8 @@
         Raises
         ------
         ValueError
-            When the window has too many processes.
+            When the window has too many processes, or the process too many
+            organisations.
         """
         runs = self._windows.setdefault(window, {})
         known = runs.get(run)
@@ -137,4 +150,4 @@
         return WindowReport(dict(sorted(sums.items())), missing)
 
 
-__all__ = ["Run", "RunCounts", "UsageCollection", "WindowReport"]
+__all__ = ["MAX_RUNS", "Run", "RunCounts", "UsageCollection", "WindowReport"]
--- a/tests/steps/usage_merge_steps.py
+++ b/tests/steps/usage_merge_steps.py
@@ -2,30 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from random import Random
 
 import attrs
 import structlog
-from aiohttp import web
 from behave import then, when
 from hypothesis import given as for_any
 from hypothesis import strategies as st
-from relay_steps import run, wait_until
+from relay_steps import drop_event, run, wait_until
 from structlog.testing import capture_logs
 from usage_world import DUE_MS, WINDOW_MS
 
-from snipemount.adapters.usage_codec import (
-    MAX_ORGANISATIONS,
-    decode_usage,
-    encode_usage,
-)
+from snipemount.adapters.usage_codec import decode_usage, encode_usage
 from snipemount.errors import DecodeError
 from snipemount.model.relay import RelayEvidence, RelayUsage, SlowLeaf
-from snipemount.platform.node_file import Endpoint
-from snipemount.platform.usage_client import UsageClient
-from snipemount.ports.usage import ReportAccepted, ReportRejected, ReportUnanswered
-from snipemount.standins.harness import free_port
+from snipemount.model.usage import MAX_ORGANISATIONS
 from snipemount.timers import VirtualTimers
 from snipemount.usage.report_checkpoint import ReportCheckpoint
 from snipemount.usage.report_plan import (
@@ -41,7 +32,6 @@
 from snipemount.usage.wall_clock import WallClock
 from snipemount.usage.window_times import WindowTimes
 
-HOST = "127.0.0.1"
 NAMES = st.text(min_size=1, max_size=12)
 COUNTS = st.dictionaries(NAMES, st.integers(0, 2**53), max_size=6)
 USAGES = st.builds(
@@ -195,6 +185,25 @@
         assert not collection.windows
 
 
+@then("a process that states 1500 organisations in each message hides no other one")
+def step_too_many_names(context):
+    timers = VirtualTimers()
+    timers.run_until(50_000.0)
+    times = WindowTimes(WINDOW_MS, DUE_MS)
+    logger = structlog.wrap_logger(None, processors=[drop_event])
+    collector = UsageCollector(times, WallClock(timers), timers, None, "own", logger)
+    for number in range(3):
+        names = tuple((f"o{number}-{n}", 1) for n in range(1500))
+        collector.add(RelayUsage("faulty-1", "run1", 9, True, names))
+    assert collector.dropped == 2
+    collector.add(RelayUsage("faulty-2", "run1", 9, True, names))
+    collector.add(RelayUsage("edge-1", "run1", 9, True, (("ralo620", 412),)))
+    stored = UsageCollection()
+    assert not decode_counts(collector._document(), stored, 9, 9)
+    daemons = stored.daemons(9)
+    assert len(daemons) == 2 and "edge-1" in daemons, daemons
+
+
 @then("counts of a window in the future are dropped, those of an old one are ignored")
 def step_out_of_range(context):
     timers = VirtualTimers()
@@ -272,111 +281,6 @@
     assert context.lines == ["relay_text_dropped"], context.lines
 
 
-class PostedReports:
-    """Takes reports over HTTP, with a response for each."""
-
-    def __init__(self, responses) -> None:
-        self.responses = list(responses)
-        self.requests: list = []
-        self.peers: list = []
-        self.port = free_port()
-
-    async def respond(self, request):
-        """Record a request and respond; None does not respond."""
-        self.requests.append((request.path, request.headers, await request.json()))
-        self.peers.append(request.transport.get_extra_info("peername"))
-        response = self.responses.pop(0)
-        if response is None:
-            await asyncio.sleep(1.0)
-            return web.Response()
-        status, headers = response
-        return web.Response(status=status, headers=headers)
-
-
-def post(server, count, timers=None, use=None):
-    """Send reports one after the other; return the results."""
-    results = []
-
-    async def work():
-        runner = web.ServerRunner(web.Server(server.respond), shutdown_timeout=0.0)
-        await runner.setup()
-        await web.TCPSite(runner, HOST, server.port).start()
-        client = UsageClient(Endpoint(HOST, server.port), timers or VirtualTimers())
-        for number in range(count):
-            call = client.send("edge-1", 41, 70, {"a": 5}, 200.0, results.append)
-            if use is not None:
-                use(call)
-            expected = number + 1
-            for _ in range(60):
-                if len(results) >= expected:
-                    break
-                await asyncio.sleep(0.01)
-        await client.close()
-        await runner.cleanup()
-
-    asyncio.run(work())
-    return results
-
-
-@then("a report is posted with its headers and body over a connection of its own")
-def step_posted(context):
-    server = PostedReports([(200, {})] * 2)
-    assert post(server, 2) == [ReportAccepted()] * 2
-    path, headers, body = server.requests[0]
-    assert path == "/usage"
-    assert headers["X-Duty-Holder"] == "edge-1"
-    assert headers["X-Fencing-Token"] == "41"
-    assert body == {"window": 70, "counts": {"a": 5}}
-    assert len(set(server.peers)) == 2
-
-
-@then("responses 200, 429 with Retry-After, 500 and none at all are told apart")
-def step_results(context):
-    responses = [
-        (200, {}),
-        (429, {"Retry-After": "0.25"}),
-        (500, {"Retry-After": "soon"}),
-        None,
-    ]
-    results = post(PostedReports(responses), 4)
-    assert results[:3] == [
-        ReportAccepted(),
-        ReportRejected(429, 250.0),
-        ReportRejected(500),
-    ]
-    assert isinstance(results[3], ReportUnanswered)
-
-
-@then("a call that was cancelled, or connects after its time has passed, sends nothing")
-def step_nothing_sent(context):
-    server = PostedReports([(200, {})] * 2)
-    assert post(server, 1, use=lambda call: call.cancel()) == []
-
-    class Suspended(VirtualTimers):
-        """Boot time that passes by 10 s before one of the looks at it."""
-
-        def __init__(self, look) -> None:
-            super().__init__()
-            self.looks_left = look
-
-        def boot_ms(self):
-            """Return the time, from one look on a later one."""
-            if self.looks_left == 0:
-                self.suspend(10_000.0)
-            self.looks_left -= 1
-            return super().boot_ms()
-
-    for look in (1, 2):  # when the call begins to run, and when it is connected
-        (result,) = post(server, 1, Suspended(look))
-        assert isinstance(result, ReportUnanswered), look
-        assert not server.requests, look
-    # Between the check of the lease and the first turn of the task.
-    timers = VirtualTimers()
-    (result,) = post(server, 1, timers, lambda call: timers.suspend(10_000.0))
-    assert isinstance(result, ReportUnanswered)
-    assert not server.requests
-
-
 @then(
     "the plan sends only confirmed counts, in order, and none after the next checkpoint"
 )
--- a/tests/usage/merge.feature
+++ b/tests/usage/merge.feature
@@ -12,6 +12,7 @@
     Then a message with a malformed field, or with 2001 organisations, is refused
     And of an object with odd entries the others are read, and causes are stated
     And an object with too many windows or organisations is left out, with a cause
+    And a process that states 1500 organisations in each message hides no other one
     And counts of a window in the future are dropped, those of an old one are ignored
 
   # An earlier build disconnects a follower whose binary message it cannot decode.
