Collectors and the usage duty go on when the result of a call never comes

Cause: only the lease took a call without a result as failed. A collector whose write had none never wrote again, and a holder whose listing or send had none reported nothing more while it renewed its lease.

Change: result_limit.limited, taken from the lease, limits the calls of both to 5 s; the usage client answers after unexpected errors too. The scenario uses the step of its own world.

--- a/src/snipemount/duties/lease.py
+++ b/src/snipemount/duties/lease.py
@@ -6,7 +6,8 @@
 from copy import deepcopy
 from typing import TYPE_CHECKING, Any
 
-from ..ports.platform import Failed, Kind
+from ..ports.platform import Kind
+from ..result_limit import limited
 from .election import LeaseElection
 from .events import (
     EndSave,
@@ -40,8 +41,8 @@
 # Shortest delay until a future time, so that rounding cannot make a timer fire for ever
 # just before it.
 MIN_DELAY_MS = 1.0
-# Of running time, until a call without a result counts as failed: one is lost when the
-# client fails unexpectedly. Beyond the timeout of any call that is useful for a lease.
+# Of running time, until a call without a result counts as failed: beyond the timeout of
+# any call that is useful for a lease.
 MAX_CALL_LEASES = 2
 
 
@@ -233,19 +234,12 @@
     def _receiver(self, event_type: Callable[[Any], Event]) -> Callable[[Any], None]:
         """Return a receiver of a call's only result; after a stop it does nothing."""
         election = self._election
-        is_pending = True
 
         def receive(result: Any) -> None:
-            nonlocal is_pending
-            if is_pending and self._election is election:
-                is_pending = False
-                limit.cancel()
+            if self._election is election:
                 self._handle(event_type(result))
 
-        limit = self._timers.call_later(
-            MAX_CALL_LEASES * self._lease_ms, lambda: receive(Failed("no result"))
-        )
-        return receive
+        return limited(self._timers, MAX_CALL_LEASES * self._lease_ms, receive)
 
 
 __all__ = ["DutyLease"]
--- a/src/snipemount/platform/usage_client.py
+++ b/src/snipemount/platform/usage_client.py
@@ -99,6 +99,9 @@
             result = await self._post(headers, body, end_ms)
         except CALL_ERRORS as error:
             result = ReportUnanswered(type(error).__name__)
+        except Exception as error:
+            # A fault of the program: the duty must not wait for a result for ever.
+            result = ReportUnanswered(f"{error!r}"[:200])
         done(result)
 
     async def _post(
--- a/src/snipemount/usage/counts_object.py
+++ b/src/snipemount/usage/counts_object.py
@@ -5,11 +5,16 @@
 from typing import TYPE_CHECKING, Any
 
 from ..ports.platform import Conflicted, Failed, Found, Kind, Missing, Written
+from ..result_limit import limited
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..ports.platform import PlatformPort, ReadResult, WriteResult
+    from ..timers import TimerService
+
+# Until a call without a result counts as failed; longer than the client's own timeout.
+MAX_CALL_MS = 5000.0
 
 
 class CountsObject:
@@ -24,6 +29,8 @@
         The store.
     name : str
         Name of the daemon and of its object.
+    timers : TimerService
+        Limits the time of a call.
     on_read : Callable
         Called with the document that is stored, before it is replaced.
     """
@@ -32,10 +39,12 @@
         self,
         platform: PlatformPort,
         name: str,
+        timers: TimerService,
         on_read: Callable[[dict[str, Any]], None],
     ) -> None:
         self._platform = platform
         self._name = name
+        self._timers = timers
         self._on_read = on_read
         self._version: int | None = None  # None if the object does not exist
         self._is_known = False
@@ -69,7 +78,11 @@
 
         def write() -> None:
             self._platform.write(
-                Kind.USAGE_COUNTS, self._name, document(), self._version, on_written
+                Kind.USAGE_COUNTS,
+                self._name,
+                document(),
+                self._version,
+                limited(self._timers, MAX_CALL_MS, on_written),
             )
 
         def on_written(result: WriteResult) -> None:
@@ -86,11 +99,15 @@
         if self._is_known:
             write()
         else:
-            self._platform.read(Kind.USAGE_COUNTS, self._name, on_read)
+            self._platform.read(
+                Kind.USAGE_COUNTS,
+                self._name,
+                limited(self._timers, MAX_CALL_MS, on_read),
+            )
 
     def _finish(self, fault: str, done: Callable[[str], None]) -> None:
         self.is_busy = False
         done(fault)
 
 
-__all__ = ["CountsObject"]
+__all__ = ["MAX_CALL_MS", "CountsObject"]
--- a/src/snipemount/usage/usage_collector.py
+++ b/src/snipemount/usage/usage_collector.py
@@ -62,7 +62,7 @@
         self._own_name = own_name
         self._logger = logger
         self._collection = UsageCollection()
-        self._object = CountsObject(platform, own_name, self._on_read)
+        self._object = CountsObject(platform, own_name, timers, self._on_read)
         self._has_unwritten = False
         self._has_unwritten_of_others = False
         self._written_ms = timers.now_ms() - WRITE_PERIOD_MS
--- a/src/snipemount/usage/usage_duty.py
+++ b/src/snipemount/usage/usage_duty.py
@@ -9,6 +9,8 @@
 from ..errors import DecodeError
 from ..ports.platform import Failed, Kind, Listed
 from ..ports.usage import ReportAccepted, ReportRejected, ReportUnanswered
+from ..result_limit import limited
+from .counts_object import MAX_CALL_MS
 from .report_checkpoint import decode_checkpoint, encode_checkpoint
 from .report_plan import (
     GiveUpWindows,
@@ -197,7 +199,9 @@
                 case Failed(detail):
                     self._fail("listing", detail)
 
-        self._platform.list_all(Kind.USAGE_COUNTS, on_listed)
+        self._platform.list_all(
+            Kind.USAGE_COUNTS, limited(self._timers, MAX_CALL_MS, on_listed)
+        )
 
     def _assemble(self, window: int, objects: tuple[StoredObject, ...]) -> None:
         collection = UsageCollection()
--- a/tests/duties/lease.feature
+++ b/tests/duties/lease.feature
@@ -89,5 +89,5 @@
   Scenario: A call that never ends does not end the duty
     Given 1 daemons, one of which holds the duty
     When a call of the holder never ends
-    And 9000 ms pass
+    And 9000 ms pass for the candidates
     Then the same daemon holds it with a greater fencing token
--- a/tests/steps/usage_report_steps.py
+++ b/tests/steps/usage_report_steps.py
@@ -296,6 +296,23 @@
         daemon.platform.cut_off = False
 
 
+@when("the result of a {call} of {who} never comes")
+def step_no_result(context, call, who):
+    world = context.usage
+    platform = (world.holder if who == "the holder" else world.first_of(who)).platform
+    original = getattr(platform, call)
+    lost = []
+
+    def lose(kind, *arguments):
+        if kind is Kind.USAGE_COUNTS and not lost:
+            lost.append(kind)
+        else:
+            original(kind, *arguments)
+
+    setattr(platform, call, lose)
+    run_while(world, lambda: not lost)
+
+
 @then("some windows were given up, and logged")
 def step_given_up(context):
     lines = context.usage.lines("usage_given_up")
--- a/tests/usage/report.feature
+++ b/tests/usage/report.feature
@@ -153,6 +153,14 @@
     Then some windows were given up, and logged
     And windows 12 to 15 were reported exactly
 
+  # A duty, or a collector, that waits for a lost result does nothing until a restart.
+  Scenario: Results of calls to the store never come: what waits for them goes on
+    When 31 s pass
+    And the result of a write of zone-b never comes
+    And the result of a list_all of the holder never comes
+    And 40 s pass
+    Then windows 8 to 12 were reported exactly
+
   # Its successor, which has no counts of the earlier process, would replace the object.
   Scenario: A collector is restarted: it keeps what its earlier process has written
     When 33 s pass
