--- a/tests/steps/organisation_steps.py
+++ b/tests/steps/organisation_steps.py
@@ -6,10 +6,10 @@
 
 import attrs
 from behave import given, then, when
+from caller_connection_steps import HalfClosableTransport
 from hypothesis import given as for_any
 from hypothesis import strategies as st
 from serving_world import HOST, ServingWorld, make_configuration
-from stopping_steps import MemoryTransport
 from virtual_loop import VirtualLoopTimers, VirtualTimeLoop
 
 from snipemount.model.forwarding import ForwardRequest
@@ -66,7 +66,7 @@
         context.serving = ServingWorld(timers=context.timers, leafs=leafs)
         context.server = CallerServer(context.serving.gateway)
         context.protocol = context.server()
-        context.protocol.connection_made(MemoryTransport())
+        context.protocol.connection_made(HalfClosableTransport())
 
     context.loop.run_until_complete(open_connection())
 
