A request whose end is not told does not delay windows for ever

Cause: an error of the program between the arrival of a request and its run left it among the open ones, so that each later window closed 2 s after its end, and the open ones grew.

Change: requests that arrived before the kept windows are forgotten.

--- a/src/snipemount/usage/usage_counter.py
+++ b/src/snipemount/usage/usage_counter.py
@@ -124,6 +124,7 @@
         for number, window in self._windows.items():
             if not window.closed and self._may_close(number, now_ms):
                 self._close(number, window)
+        self._forget_old()
 
     def close_all(self) -> None:
         """Close all windows, as this process counts no more."""
@@ -150,6 +151,18 @@
     def _is_kept(self, number: int) -> bool:
         return self._current - self._times.kept < number <= self._current + 1
 
+    def _forget_old(self) -> None:
+        """Forget requests that arrived before the kept windows.
+
+        They are over; one whose end was not told, by a fault of the program, would
+        otherwise delay the close of each window.
+        """
+        first_kept = self._current - self._times.kept + 1
+        for number, request in list(self._open.items()):
+            if self._times.at(request.arrived_ms) >= first_kept:
+                break
+            del self._open[number]
+
     def _may_close(self, number: int, now_ms: float) -> bool:
         end_ms = self._times.end_ms(number)
         if now_ms < end_ms + CLOSE_DELAY_MS:
--- a/tests/steps/usage_counting_steps.py
+++ b/tests/steps/usage_counting_steps.py
@@ -137,6 +137,11 @@
     return counts
 
 
+@when("a request arrives at {at_ms:g} ms, and nothing more is told of it")
+def step_never_ends(context, at_ms):
+    context.counter.opened("ralo620", at_ms, lambda: None)
+
+
 @when("the clock shows {wrong_ms:g} ms for a time, then {right_ms:g} ms again")
 def step_wrong(context, wrong_ms, right_ms):
     context.counter.advance(wrong_ms)
--- a/tests/usage/counting.feature
+++ b/tests/usage/counting.feature
@@ -134,6 +134,14 @@
     And window 0 still has 2 requests at 9500 ms
     And window 1 is closed at 10300 ms with 0 requests
 
+  # It would delay the close of all later windows, and the requests kept would grow.
+  Scenario: A request whose end is never told delays windows for half a minute at most
+    Given a counter of windows of 5 s
+    When a request arrives at 100 ms, and nothing more is told of it
+    Then window 0 is not closed at 6900 ms
+    And window 7 is not closed at 37000 ms
+    And window 7 is closed at 40300 ms with 0 requests
+
   # A step of the clock that is reverted would move requests to another window.
   Scenario: A clock that is stepped for less than half a minute does not move true time
     Then after a step of 5 s, and of -8 s, for up to 29 s true time is as before
