A daemon that collects usage no more empties its stored object

Cause: the object of a daemon that had become a follower kept its last windows, which each listing read for ever: at the design size some hundred KB for each daemon that has ever collected.

Change: when no window is left, an object that has some is written once more without any.

--- a/src/snipemount/duties/events.py
+++ b/src/snipemount/duties/events.py
@@ -104,7 +104,7 @@
 
 @attrs.frozen
 class ReportUnreadable:
-    """Action: log that another writer spoilt the object."""
+    """Action: log that the object is malformed, as another writer left it."""
 
     version: int
 
--- a/src/snipemount/duties/record.py
+++ b/src/snipemount/duties/record.py
@@ -47,7 +47,7 @@
 
 
 def read_record(spec: dict[str, Any]) -> LeaseRecord | None:
-    """Return the content of a stored document; None if another writer spoilt it."""
+    """Return the content of a stored document; None if it is malformed."""
     match spec:
         case {
             "holder": str(holder),
--- a/src/snipemount/usage/usage_collector.py
+++ b/src/snipemount/usage/usage_collector.py
@@ -65,6 +65,7 @@
         self._object = CountsObject(platform, own_name, timers, self._on_read)
         self._has_unwritten = False
         self._has_unwritten_of_others = False
+        self._has_stored_windows = False
         self._written_ms = timers.now_ms() - WRITE_PERIOD_MS
         self._store_since_ms: float | None = None
         self._complete_window = -1  # last one that was written when all had closed it
@@ -112,9 +113,15 @@
         """
         self._collection.remove_before(self._times.first_due(self._clock.now_ms()))
         self._note_following(follows_store)
+        now_ms = self._timers.now_ms()
+        if self._has_stored_windows and not self._collection.windows:
+            # It collects no more: what is stored would be in each listing for ever.
+            if now_ms - self._written_ms >= WRITE_PERIOD_MS:
+                self._has_unwritten = True
+                self.write()
+            return
         if self._object.is_busy or not self._has_unwritten or not self._may_write():
             return
-        now_ms = self._timers.now_ms()
         window = self._times.at(self._clock.now_ms()) - 1
         completes = window > self._complete_window and self._is_complete(window)
         if completes:
@@ -148,6 +155,7 @@
     def _document(self) -> dict[str, Any]:
         """Return what is written now; later counts need another write."""
         self._has_unwritten = self._has_unwritten_of_others = False
+        self._has_stored_windows = bool(self._collection.windows)
         return encode_counts(self._collection)
 
     def _on_read(self, document: dict[str, Any]) -> None:
@@ -160,6 +168,7 @@
     def _on_written(self, fault: str) -> None:
         if fault:
             self._has_unwritten = self._has_unwritten_of_others = True
+            self._has_stored_windows = True
             self._logger.warning("usage_not_written", reason=fault)
 
     def _drop(self, causes: list[str], sender: str) -> None:
--- a/tests/steps/usage_merge_steps.py
+++ b/tests/steps/usage_merge_steps.py
@@ -15,8 +15,11 @@
 
 from snipemount.adapters.usage_codec import decode_usage, encode_usage
 from snipemount.errors import DecodeError
+from snipemount.experiments.fake_platform import FakePlatform, PlatformFaults
 from snipemount.model.relay import RelayEvidence, RelayUsage, SlowLeaf
 from snipemount.model.usage import MAX_ORGANISATIONS
+from snipemount.ports.platform import Found, Kind
+from snipemount.standins.object_store import ObjectStore
 from snipemount.timers import VirtualTimers
 from snipemount.usage.report_checkpoint import ReportCheckpoint
 from snipemount.usage.report_plan import (
@@ -218,6 +221,28 @@
     assert [line["event"] for line in lines] == ["usage_dropped"]
 
 
+@then("the object of a daemon that follows another one is empty 20 s later")
+def step_emptied(context):
+    timers, store = VirtualTimers(), ObjectStore()
+    timers.run_until(50_000.0)
+    platform = FakePlatform(store, timers, PlatformFaults())
+    times = WindowTimes(WINDOW_MS, DUE_MS)
+    logger = structlog.wrap_logger(None, processors=[drop_event])
+    collector = UsageCollector(
+        times, WallClock(timers), timers, platform, "own", logger
+    )
+    collector.add(attrs.evolve(SAMPLE, window=9))
+    versions = []
+    for number in range(60):
+        collector.check(follows_store=number < 10)
+        timers.run_until(timers.now_ms() + 500.0)
+        result = store.read(Kind.USAGE_COUNTS, "own")
+        if isinstance(result, Found) and result.stored.version not in versions:
+            versions.append(result.stored.version)
+    assert len(versions) == 2, versions
+    assert result.stored.spec["windows"] == {}, result.stored.spec
+
+
 @when("the follower reports counts, and its frames are recorded")
 def step_report_counts(context):
     context.frames = []
--- a/tests/usage/merge.feature
+++ b/tests/usage/merge.feature
@@ -15,6 +15,10 @@
     And a process that states 1500 organisations in each message hides no other one
     And counts of a window in the future are dropped, those of an old one are ignored
 
+  # Listings would grow with each daemon that has ever collected counts.
+  Scenario: A daemon that collects no more empties its object, with one write
+    Then the object of a daemon that follows another one is empty 20 s later
+
   # An earlier build disconnects a follower whose binary message it cannot decode.
   Scenario: Counts are sent as text, which an earlier build of the relay ignores
     Given a relay on loopback with a snapshot of 3 listings
