Callers: slow readers, raised limits and shed connections are handled

Cause: a transport writes to its socket only when a third of the socket's buffer is free, so callers that read a 6 MB response steadily at 50 to 200 KB/s (loopback) were cut off as stalled. The parser of an open connection kept the body limit of its opening and paused for good on a larger body, whose request was then never answered. A connection that was shed while served was counted again with what it had freed. An empty line after a request kept a connection out of the idle ones. Change: progress is what the peer has acknowledged; the parser has no limit of its own, as the connection applies those in force; shed connections are not counted again; a connection with nothing but empty lines is idle.

--- a/src/snipemount/platform/caller_connection.py
+++ b/src/snipemount/platform/caller_connection.py
@@ -6,7 +6,6 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
-from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
@@ -14,7 +13,8 @@
 from . import headers as names
 from .caller_refusals import CutOff
 from .refusing_handler import RefusingHandler
-from .request_framing import ChunkedBody, head_end
+from .request_framing import CONTINUE, LINE_ENDS, ChunkedBody, head_end
+from .unsent_bytes import bytes_in_kernel
 
 if TYPE_CHECKING:
     from aiohttp.http import RawRequestMessage
@@ -24,8 +24,6 @@
 
     from .caller_connections import CallerConnections
 
-LINE_ENDS = b"\r\n"
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Received but not parsed bytes above which a connection stops receiving.
 MAX_UNPARSED_BYTES = 2**16
 # Complete requests up to this size are not counted, as they are part of the share of
@@ -39,6 +37,8 @@
 KEEP_ALIVE_SLACK_S = 1.0
 # A head within the default limit may have this many; memory for them is counted.
 MAX_HEADERS = 512
+# Of the parser, which outlives a configuration; the limits in force apply before it.
+MAX_PARSED_BYTES = 2**30
 NO_CHUNKS = ChunkedBody()  # of a request whose body is not chunked
 
 
@@ -71,6 +71,7 @@
         "_payload",
         "_received",
         "_scanned",
+        "_unacknowledged",
         "_unread",
     )
 
@@ -82,11 +83,9 @@
             server,
             callers,
             keepalive_timeout=limits.idle_timeout_ms / MS_PER_S + KEEP_ALIVE_SLACK_S,
-            max_field_size=limits.max_header_bytes,
-            max_line_size=limits.max_header_bytes,
+            max_field_size=MAX_PARSED_BYTES,
+            max_line_size=MAX_PARSED_BYTES,
             max_headers=MAX_HEADERS,
-            # The parser never waits for a body within the limit to be read.
-            read_bufsize=max(limits.max_body_bytes, DEFAULT_CHUNK_SIZE),
             **options,
         )
         self._is_paused = self._in_turns = self._is_counted = False
@@ -99,7 +98,7 @@
         self._body = bytearray()
         self._chunks = NO_CHUNKS
         self._empty_bytes = self._scanned = 0
-        self._length = self._unread = 0
+        self._length = self._unread = self._unacknowledged = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for requests, unless there are too many connections."""
@@ -127,9 +126,8 @@
             else:
                 self._parse()
 
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Do nothing: the transport waits only for what is not parsed yet."""
-        self._reading_paused = False
+    def pause_reading(self) -> None:
+        """Do nothing: a body is within its limit, and is parsed as a whole."""
 
     def pause_writing(self) -> None:
         """Count the response, as the caller does not read it at once."""
@@ -145,9 +143,10 @@
     def note_unread(self) -> None:
         """Record how much of the response the caller has not read."""
         if self.transport is not None and self.writing_paused:
-            before = self._unread
             self._unread = self.transport.get_write_buffer_size()
-            self._count_served(self._unread < before)
+            before, self._unacknowledged = self._unacknowledged, self._unread
+            self._unacknowledged += bytes_in_kernel(self.transport)
+            self._count_served(self._unacknowledged < before)
 
     async def finish_response(
         self, request: BaseRequest, resp: StreamResponse, start_time: float | None
@@ -248,6 +247,7 @@
             self._refuse(CutOff.HEAD_TOO_LARGE)
             return
         if not data:
+            self._callers.became_idle(self)
             return
         if not self._scanned:
             self._callers.became_busy(self)
--- a/src/snipemount/platform/caller_connections.py
+++ b/src/snipemount/platform/caller_connections.py
@@ -121,9 +121,10 @@
         """Record what a connection holds; shed others, or it, if that is too much."""
         now_ms = self.timers.now_ms()
         if not self._unfinished.note(connection, stage, held, progressed, now_ms):
-            for other in self._unfinished.to_shed(connection, now_ms):
+            shed = self._unfinished.to_shed(connection, now_ms)
+            for other in shed:
                 other.cut_off(CutOff.MEMORY)
-            if connection in self._unfinished:
+            if connection not in shed:
                 self._unfinished.note(connection, stage, held, progressed, now_ms)
         self._check_later()
 
--- a/src/snipemount/platform/request_framing.py
+++ b/src/snipemount/platform/request_framing.py
@@ -1,9 +1,11 @@
-"""Where the head and the chunked body of a request end."""
+"""Framing of a request: where its head and its chunked body end."""
 
 from __future__ import annotations
 
 SLICE_BYTES = 4096
+LINE_ENDS = b"\r\n"
 EMPTY_LINE = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_OVERLAP = len(EMPTY_LINE) - 1
 
 
@@ -54,4 +56,4 @@
         self.framing_bytes = 0 if data else self.framing_bytes + slice_bytes
 
 
-__all__ = ["ChunkedBody", "head_end"]
+__all__ = ["CONTINUE", "LINE_ENDS", "ChunkedBody", "head_end"]
--- a/tests/platform/caller_connection.feature
+++ b/tests/platform/caller_connection.feature
@@ -59,3 +59,34 @@
     And the server closes its connections
     Then it receives "HTTP/1.1 503"
     And no request ran
+
+  # A socket takes more of a response only when a third of its buffer is free, so a caller
+  # that reads 100 KB/s would seem to read nothing for longer than the timeout.
+  Scenario: A caller that reads slowly but steadily is not cut off
+    Given callers with the default limits
+    When a caller reads 16 KB of a large response each 2000 ms, 8 times
+    Then it is not cut off until it has read nothing for 5200 ms
+
+  # The connection would never read the rest of the body.
+  Scenario: A limit that is raised holds for connections that are open
+    Given callers with the default limits
+    When a caller sends "a request and an empty line"
+    And the limit on bodies is raised to 2000000 bytes
+    And the same caller sends "a body of 1500000 bytes"
+    Then it receives "HTTP/1.1 200"
+
+  # A connection that is neither idle nor busy is never closed to make room.
+  Scenario: A connection that ends its request with an empty line is idle
+    Given callers that may have 1 connection
+    When a caller sends "a request and an empty line"
+    And a caller sends "a large body"
+    Then it receives "HTTP/1.1 200"
+
+  # What was freed would count until the connection is closed, and others be shed for it.
+  Scenario: What a shed connection freed is not counted again
+    Given callers that may hold 60000 bytes together, and no answers
+    When a caller sends "5 KB of a body"
+    And a caller waits for 1000 ms
+    And a caller sends "a body of 10000 bytes"
+    And the same caller sends "49900 bytes of the next"
+    Then 10000 bytes are counted
--- a/tests/steps/caller_connection_steps.py
+++ b/tests/steps/caller_connection_steps.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
+import attrs
 from behave import given, then, when
 from hypothesis import given as for_any
 from hypothesis import settings
@@ -22,8 +25,10 @@
 from snipemount.platform.caller_bounds import CallerBounds
 from snipemount.platform.caller_connections import CallerConnections
 from snipemount.platform.caller_server import CallerServer
+from snipemount.serving.run import EndedRun
 
 LARGE_BYTES = 250_000
+READ_BYTES = 4096
 HEAD_LINES = "Host: a\r\nX-Request-Id: r\r\n"
 SETTLE_MS = 1.0
 MAX_EXAMPLES = 60
@@ -51,6 +56,11 @@
     "an endless chunk extension": CHUNKED + b"1;" + b"x" * 20_000,
     "bytes that are no HTTP": b"\x16\x03\x01\x02\r\n\r\n",
     "a malformed chunk": CHUNKED + b"zz\r\n",
+    "a request and an empty line": post("Content-Length: 2") + b"hi\r\n",
+    "a body of 1500000 bytes": post("Content-Length: 1500000") + b"x" * 1_500_000,
+    "5 KB of a body": post("Content-Length: 9000") + b"x" * 4000,
+    "a body of 10000 bytes": post("Content-Length: 10000") + b"x" * 10_000,
+    "49900 bytes of the next": b"x" * 49_900,
     "half a head": b"GET /echo HTTP/1.1\r\nHost:",
     "half a body": post("Content-Length: 10") + b"hello",
     "a large body": LARGE + b"x" * LARGE_BYTES,
@@ -78,19 +88,52 @@
         """Do nothing: scenarios check only what was written."""
 
 
+class FullTransport(HalfClosableTransport):
+    """Holds a response that its socket takes no part of, as the socket is full."""
+
+    def __init__(self):
+        super().__init__()
+        self.socket, self.peer = socket.socketpair()
+        self.socket.setblocking(False)
+        self.aborted = False
+
+    def write(self, data):
+        """Fill the socket, and report that the transport's buffer is full."""
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self.socket.send(bytes(READ_BYTES))
+        self.protocol.pause_writing()
+
+    def get_write_buffer_size(self):
+        """Return a size that stays the same."""
+        return LARGE_BYTES
+
+    def get_extra_info(self, name, default=None):
+        """Return the socket."""
+        return self.socket if name == "socket" else default
+
+    def abort(self):
+        """Record that the caller was cut off."""
+        self.aborted = True
+
+
 class EchoGateway:
     """Answers each request with its method and its body."""
 
     def __init__(self):
         self.limits = CallerLimits()
         self.is_isolated = False
+        self.answers = True
         self.ran = []
 
     def submit(self, request, give):
-        """Answer at once."""
+        """Answer at once, unless answers are withheld."""
         self.ran.append(request)
+        if not self.answers:
+            return EndedRun()
         body = b"<" + request.method.encode() + b" " + request.body + b">"
         give(Forwarded(LeafAnswer(200, (), body, "")))
+        return EndedRun()
 
 
 class CallersWorld:
@@ -99,6 +142,7 @@
     def __init__(self, bounds: CallerBounds):
         self.loop = VirtualTimeLoop()
         self.gateway = EchoGateway()
+        self.make_transport = HalfClosableTransport
         self.transports = []
         self.protocols = []
         self.loop.run_until_complete(self._start(bounds))
@@ -111,7 +155,8 @@
     async def _feed(self, pieces, wait_ms, protocol=None):
         if protocol is None:
             protocol = self.server()
-            self.transports.append(HalfClosableTransport())
+            self.transports.append(self.make_transport())
+            self.transports[-1].protocol = protocol
             self.protocols.append(protocol)
             protocol.connection_made(self.transports[-1])
         for piece in pieces:
@@ -158,6 +203,49 @@
     context.callers.feed([FORMS[form]])
 
 
+@given("callers that may have {count:d} connection")
+def step_connections(context, count):
+    start(context, CallerBounds(max_connections=count))
+
+
+@given("callers that may hold {count:d} bytes together, and no answers")
+def step_no_answers(context, count):
+    start(context, CallerBounds(unfinished_bytes=count))
+    context.callers.gateway.answers = False
+
+
+@when("the limit on bodies is raised to {count:d} bytes")
+def step_raise(context, count):
+    gateway = context.callers.gateway
+    gateway.limits = attrs.evolve(gateway.limits, max_body_bytes=count)
+
+
+@when("a caller reads {size:d} KB of a large response each {period_ms:d} ms, 8 times")
+def step_read(context, size, period_ms):
+    world = context.callers
+    world.make_transport = FullTransport
+    world.feed([GET])
+    transport = world.transports[-1]
+    context.closers += [transport.socket.close, transport.peer.close]
+    for _ in range(8):
+        world.wait(period_ms)
+        for _ in range(size * 1024 // READ_BYTES):
+            transport.peer.recv(READ_BYTES)
+
+
+@then("it is not cut off until it has read nothing for {wait_ms:d} ms")
+def step_not_cut(context, wait_ms):
+    transport = context.callers.transports[-1]
+    assert not transport.aborted
+    context.callers.wait(wait_ms)
+    assert transport.aborted
+
+
+@then("{count:d} bytes are counted")
+def step_counted(context, count):
+    assert context.callers.server.connections.held_bytes == count
+
+
 @when('{count:d} callers send "{form}"')
 def step_send_many(context, count, form):
     for _ in range(count):
