Overload: routes that need different shares of the same shards have levels of their own

Cause: the share of the first route, or of an earlier configuration, was used for all. Change: a group of services is identified by its services and the needed share. Result: the extended scenario fails on the previous code.

--- a/src/snipemount/overload/admission.py
+++ b/src/snipemount/overload/admission.py
@@ -41,7 +41,7 @@
         self._random = random
         self._leaf_count = leaf_count
         self._signals: dict[str, ServiceSignal] = {}
-        self._groups: dict[tuple[str, ...], ServiceGroup] = {}
+        self._groups: dict[tuple[tuple[str, ...], float], ServiceGroup] = {}
         self._waiting = WaitingRequests()
 
     @property
@@ -175,11 +175,12 @@
         return found
 
     def _group(self, request: AdmissionRequest) -> ServiceGroup:
-        found = self._groups.get(request.services)
+        key = request.services, request.min_share
+        found = self._groups.get(key)
         if found is None:
             if len(self._groups) >= MAX_GROUPS:
                 self._groups.clear()
-            found = self._groups[request.services] = ServiceGroup(
+            found = self._groups[key] = ServiceGroup(
                 request.services, request.min_share, self._signals, self._leaf_count
             )
         return found
--- a/tests/overload/admission.feature
+++ b/tests/overload/admission.feature
@@ -98,7 +98,8 @@
   Scenario: The leafs stay nearly full
     Then the least urgent rank gets its floor, and its organisation a quarter of the overall share
 
-  # A daemon that runs few queries never sees an overload; or a few shards are taken for all.
+  # A daemon that runs few queries never sees an overload; or a few shards are taken for all,
+  # or the share counts that another route or an earlier configuration needs.
   Scenario: A query over 90 shards is decided by the needed share of them
     Then bulk queries wait when 90 shards are full, and start when 80 have room
 
--- a/tests/steps/overload_steps.py
+++ b/tests/steps/overload_steps.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from random import Random
 
+import attrs
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -194,6 +195,8 @@
     shards = tuple(f"shard{number}" for number in range(90))
     for full, is_held in ((90, True), (10, False)):
         admission = Admission(Random(1), lambda service: 3)
+        other_route = attrs.evolve(request(0, 1200.0, "", shards), min_share=1.0)
+        admission.decide(other_route, 0.0)
         decisions = set()
         for number in range(60):  # one query a second, alternately of rank 0 and 1
             now_ms = number * 1000.0
