Relays forward shared estimates while they count, beside their own

Cause: with many followers the estimates to forward grew to one for each leaf, were forwarded at 20 in 100 ms, long after the 2 s for which they count, and kept the relay's own from being sent. Change: at most one message of estimates waits; half of each message is the relay's own while it has any.

--- a/src/snipemount/serving/leaf_evidence.py
+++ b/src/snipemount/serving/leaf_evidence.py
@@ -10,7 +10,9 @@
     from ..decisions.leafs.leaf_state import LeafState
     from .context import ServingContext
 
-MAX_ESTIMATES = 64  # of one message
+# Of one message, and of the ones to forward: with many followers more would wait until
+# they are outdated. What is dropped is reported again while it lasts.
+MAX_ESTIMATES = 64
 # On average; bounds the bytes that a daemon sends for estimates to about 5 KB/s.
 MEAN_ESTIMATES = 20
 
@@ -52,9 +54,11 @@
         for leaf in evidence.leafs:
             reported = self._forwarded.get(leaf.leaf_id, 0.0)
             self._forwarded[leaf.leaf_id] = max(reported, leaf.slowness)
+        forwarded = self._forwarded_estimates
         for estimate in evidence.estimates:
-            if self._context.directory.find(estimate.leaf_id) is not None:
-                self._forwarded_estimates[estimate.leaf_id] = estimate
+            has_room = len(forwarded) < MAX_ESTIMATES or estimate.leaf_id in forwarded
+            if has_room and self._context.directory.find(estimate.leaf_id) is not None:
+                forwarded[estimate.leaf_id] = estimate
 
     def take_unreported(self) -> RelayEvidence | None:
         """Return the evidence since the last call and clear it; None if there is none.
@@ -80,7 +84,8 @@
         now_ms = self._context.timers.now_ms()
         allowed = min(MAX_ESTIMATES, self._allowed_estimates + MEAN_ESTIMATES)
         forwarded = self._forwarded_estimates
-        first_ids = list(forwarded)[:allowed]
+        most = allowed // 2 if observed else allowed
+        first_ids = list(forwarded)[:most]
         taken = [forwarded.pop(leaf_id) for leaf_id in first_ids]
         for state in observed:
             if len(taken) >= allowed:
--- a/tests/capacity/learning.feature
+++ b/tests/capacity/learning.feature
@@ -53,6 +53,11 @@
     Then 100 messages 100 ms apart have at most 64 estimates each and 2100 together
     And no estimate is sent twice
 
+  # Guards against relays that forward outdated estimates, and never their own.
+  Scenario: A relay forwards estimates while they count, beside its own
+    Given a daemon of which 500 leafs have become slow
+    Then what 20 followers report of 250 leafs is forwarded within 1000 ms, beside its own
+
   # Guards against relays that end when only one side knows shared estimates.
   Scenario: Daemons that know only slow leafs can read the evidence
     Given evidence of one slow leaf and one estimate
--- a/tests/steps/learning_steps.py
+++ b/tests/steps/learning_steps.py
@@ -318,6 +318,31 @@
     assert 0 < len(context.sent) <= total, len(context.sent)
 
 
+@then(
+    "what 20 followers report of {count:d} leafs is forwarded within {wait_ms:d} ms, "
+    "beside its own"
+)
+def step_forward(context, count, wait_ms):
+    context.evidence.take_unreported()
+    reported_ms: dict[str, float] = {}
+    own = 0
+    for turn in range(100):
+        for number in range(20):
+            leaf_id = f"leaf-{250 + (20 * turn + number) % count}"
+            if leaf_id not in context.evidence._forwarded_estimates:
+                reported_ms[leaf_id] = context.now_ms
+            estimate = LeafEstimate(leaf_id, 4.0, 1.0)
+            context.evidence.forward(RelayEvidence((), (estimate,)))
+        evidence = context.evidence.take_unreported()
+        for estimate in evidence.estimates:
+            is_own = estimate.service_ratio != 4.0
+            own += is_own
+            age_ms = context.now_ms - reported_ms.get(estimate.leaf_id, context.now_ms)
+            assert is_own or age_ms <= wait_ms, age_ms
+        context.now_ms += 100.0
+    assert own > 100, own
+
+
 @then("no estimate is sent twice")
 def step_once(context):
     assert len(context.sent) == len(set(context.sent)), context.sent
