--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -28,6 +28,7 @@
     add_caller_gauges,
     add_capacity_gauges,
     add_directory_gauges,
+    add_gateway_gauges,
     add_leaf_client_gauges,
     add_overload_gauges,
 )
@@ -288,17 +289,12 @@
 
     def _register_gauges(self) -> None:
         gauge = self._metrics.add_gauge
-        gateway = self.gateway
+        add_gateway_gauges(self._metrics, self.gateway)
         add_directory_gauges(self._metrics, self._context)
         add_overload_gauges(self._metrics, self._overload)
         add_capacity_gauges(self._metrics, self._capacity_watch)
         add_caller_gauges(self._metrics, self._caller_server.connections)
         add_leaf_client_gauges(self._metrics, self._leaf_client)
-        gauge(
-            "configuration_version",
-            "Version of the configuration in force.",
-            lambda: gateway.version,
-        )
         gauge(
             "zone_orders_age_ms",
             "Time since the known orders on zones were current for certain.",
@@ -313,11 +309,6 @@
             "Queries in flight that other daemons delegate.",
             lambda: self._delegated_queries.in_flight,
         )
-        gauge(
-            "delegates",
-            "Whether queries over all shards are given to another daemon.",
-            lambda: float(gateway.delegates),
-        )
 
     def _flush_log(self) -> None:
         self._log_writer.flush()
--- a/src/snipemount/entry_gauges.py
+++ b/src/snipemount/entry_gauges.py
@@ -10,9 +10,24 @@
     from .platform.leaf_client import LeafClient
     from .serving.capacity_watch import CapacityWatch
     from .serving.context import ServingContext
+    from .serving.gateway import Gateway
     from .serving.overload_control import OverloadControl
 
 
+def add_gateway_gauges(metrics: PrometheusMetrics, gateway: Gateway) -> None:
+    """Add gauges of what requests are served with."""
+    metrics.add_gauge(
+        "configuration_version",
+        "Version of the configuration in force.",
+        lambda: gateway.version,
+    )
+    metrics.add_gauge(
+        "delegates",
+        "Whether queries over all shards are given to another daemon.",
+        lambda: float(gateway.delegates),
+    )
+
+
 def add_directory_gauges(metrics: PrometheusMetrics, context: ServingContext) -> None:
     """Add gauges of the known leafs and daemons."""
     gauge = metrics.add_gauge
@@ -105,6 +120,7 @@
     "add_caller_gauges",
     "add_capacity_gauges",
     "add_directory_gauges",
+    "add_gateway_gauges",
     "add_leaf_client_gauges",
     "add_overload_gauges",
 ]
