--- a/src/snipemount/memory/unfinished_requests.py
+++ b/src/snipemount/memory/unfinished_requests.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-# Shedding frees this share of the budget at once, so that it need not choose each time.
+# Shedding frees this share of the budget in addition: choosing sorts all requests.
 SHED_SHARE = 1 / 16
 
 Owner = TypeVar("Owner", bound="Hashable")
--- a/src/snipemount/overload/service_group.py
+++ b/src/snipemount/overload/service_group.py
@@ -14,7 +14,7 @@
 
     from .signal import ServiceSignal
 
-CALM_ROUNDS = 0.25
+CALM_ROUNDS = 0.25  # up to this wait latencies count as those without load
 # From so many shards on, the leafs that were asked are a sample of all leafs. A daemon
 # that runs one query a second never hears of most of the others.
 MIN_SAMPLED_SHARDS = 8
--- a/src/snipemount/serving/capacity_watch.py
+++ b/src/snipemount/serving/capacity_watch.py
@@ -19,7 +19,7 @@
 # average it only comes near that.
 LOW_SHARE = 0.55
 RECOVERED_SHARE = 0.75
-LIMITED_SHARE = 0.9
+LIMITED_SHARE = 0.9  # of the slots; latencies scatter, so a limit is rarely all of them
 
 
 class CapacityWatch:
--- a/src/snipemount/serving/reserved_slots.py
+++ b/src/snipemount/serving/reserved_slots.py
@@ -7,9 +7,9 @@
 if TYPE_CHECKING:
     from ..decisions.leafs.leaf_state import LeafState
 
-MIN_FREE_SLOTS = 2.0
-MAX_SLOWNESS = 1.5
-MAX_FAULT_RATE = 0.1
+MIN_FREE_SLOTS = 2.0  # one is taken, one stays free
+MAX_SLOWNESS = 1.5  # latency in multiples of the typical one
+MAX_FAULT_RATE = 0.1  # share of recent attempts
 
 
 def leave_slots_free(states: list[LeafState], now_ms: float) -> list[LeafState]:
