--- a/src/snipemount/groups.py
+++ b/src/snipemount/groups.py
@@ -8,10 +8,19 @@
 from .commands.move import MoveHold, MoveResume, MoveStart, MoveTakeBack
 from .commands.profile import ProfileApply
 from .commands.zone import ZoneBack, ZoneOut
+from .queries.config import ConfigCheck
 from .queries.profile import ProfileCheck, ProfileDiff, ProfileList, ProfileShow
 from .queries.status import MoveStatusCommand, ZoneStatusCommand
 
 
+@cappa.command(name="config", help="Check configurations.")
+@attrs.define
+class ConfigGroup:
+    """Subcommands on the configuration that operators write to the store."""
+
+    command: cappa.Subcommands[ConfigCheck]
+
+
 @cappa.command(name="profile", help="Show, check and change profiles.")
 @attrs.define
 class ProfileGroup:
@@ -40,4 +49,4 @@
     ]
 
 
-__all__ = ["MoveGroup", "ProfileGroup", "ZoneGroup"]
+__all__ = ["ConfigGroup", "MoveGroup", "ProfileGroup", "ZoneGroup"]
--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import ip_address
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..finite import finite_number
@@ -21,9 +21,13 @@
 from .organisation_documents import decode_organisations
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from ..model.configuration import Target
     from ..ports.platform import StoredObject
 
+T = TypeVar("T")
+
 MS_PER_S = 1000.0
 MAX_PORT = 65535
 MOVE_STATES = {"running": "running", "completed": "done", "rolled_back": "taken_back"}
@@ -40,19 +44,52 @@
     DecodeError
         When a field is missing or has another type, or an organisation is malformed.
     """
-    spec = stored.spec
     try:
-        return Configuration(
-            version=_count(spec["version"]),
-            routes=tuple(_route(item) for item in spec["routes"]),
-            services={s["name"]: _service(s) for s in spec.get("backends") or ()},
-            limits=_limits(spec.get("limits") or {}),
-            organisations=decode_organisations(spec.get("tenants")),
-        )
+        return configuration_from(stored.spec)
     except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
 
 
+def configuration_from(spec: dict[str, Any]) -> Configuration:
+    """Return the configuration of a document.
+
+    Raises
+    ------
+    MALFORMED_INPUT_ERRORS
+        When a field is missing or has another type, or an organisation is malformed.
+    """
+    services = _decode_items("backends", _service, spec.get("backends") or ())
+    return Configuration(
+        version=_count(spec["version"]),
+        routes=_decode_items("routes", _route, spec["routes"]),
+        services={service.name: service for service in services},
+        limits=_limits(spec.get("limits") or {}),
+        organisations=decode_organisations(spec.get("tenants")),
+    )
+
+
+def _decode_items(
+    field: str, decode: Callable[[dict[str, Any]], T], items: Iterable[dict[str, Any]]
+) -> tuple[T, ...]:
+    """Decode the items of a list; an error names the position of the item."""
+    decoded = []
+    for position, item in enumerate(items):
+        try:
+            decoded.append(decode(item))
+        except MALFORMED_INPUT_ERRORS as error:
+            raise ValueError(f"{field}[{position}]: {reason_of(error)}") from error
+    return tuple(decoded)
+
+
+def reason_of(error: Exception) -> str:
+    """Return what is wrong with a document, as the error of its decoder says."""
+    match error:
+        case KeyError():
+            return f"the field {error} is missing"
+        case _:
+            return str(error)
+
+
 def _route(item: dict[str, Any]) -> Route:
     timeout_ms = finite_number(item["timeout_ms"])
     return Route(
@@ -219,7 +256,9 @@
 
 __all__ = [
     "PlatformDecoders",
+    "configuration_from",
     "decode_configuration",
     "decode_leaf",
     "decode_version_order",
+    "reason_of",
 ]
--- a/src/snipemount/run.py
+++ b/src/snipemount/run.py
@@ -12,7 +12,7 @@
 from .commands.serve import Serve
 from .commands.soak import Soak
 from .errors import SnipemountError
-from .groups import MoveGroup, ProfileGroup, ZoneGroup
+from .groups import ConfigGroup, MoveGroup, ProfileGroup, ZoneGroup
 from .queries.experiment import Experiment
 from .queries.reference import Reference
 from .queries.status import Events, HistogramCommand, StatusCommand
@@ -33,6 +33,7 @@
         | Soak
         | Reference
         | StatusCommand
+        | ConfigGroup
         | ProfileGroup
         | ZoneGroup
         | MoveGroup
