--- a/src/snipemount/platform/documents.py
+++ b/src/snipemount/platform/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import ip_address
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..finite import finite_number
@@ -21,9 +21,13 @@
 from .organisation_documents import decode_organisations
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from ..model.configuration import Target
     from ..ports.platform import StoredObject
 
+T = TypeVar("T")
+
 MS_PER_S = 1000.0
 MAX_PORT = 65535
 MOVE_STATES = {"running": "running", "completed": "done", "rolled_back": "taken_back"}
@@ -40,21 +44,54 @@
     DecodeError
         When a field is missing or has another type, or an organisation is malformed.
     """
-    spec = stored.spec
     try:
-        return Configuration(
-            version=_count(spec["version"]),
-            routes=tuple(_route(item) for item in spec["routes"]),
-            services={s["name"]: _service(s) for s in spec.get("backends") or ()},
-            limits=_limits(spec.get("limits") or {}),
-            organisations=decode_organisations(spec.get("tenants")),
-        )
+        return configuration_from(stored.spec)
     except MALFORMED_INPUT_ERRORS as error:
         raise DecodeError(f"{stored.kind.value}/{stored.name}: {error!r}") from error
 
 
+def configuration_from(spec: dict[str, Any]) -> Configuration:
+    """Return the configuration of a document.
+
+    Raises
+    ------
+    MALFORMED_INPUT_ERRORS
+        When a field is missing or has another type, or an organisation is malformed.
+    """
+    services = _decode_items("backends", _service, spec.get("backends") or ())
+    return Configuration(
+        version=_field("version", _count, spec["version"]),
+        routes=_decode_items("routes", _route, spec["routes"]),
+        services={service.name: service for service in services},
+        limits=_limits(spec.get("limits") or {}),
+        organisations=decode_organisations(spec.get("tenants")),
+    )
+
+
+def _decode_items(
+    field: str, decode: Callable[[dict[str, Any]], T], items: Iterable[dict[str, Any]]
+) -> tuple[T, ...]:
+    """Decode the items of a list; an error names the position of the item."""
+    decoded = []
+    for position, item in enumerate(items):
+        try:
+            decoded.append(decode(item))
+        except MALFORMED_INPUT_ERRORS as error:
+            raise ValueError(f"{field}[{position}]: {reason_of(error)}") from error
+    return tuple(decoded)
+
+
+def reason_of(error: Exception) -> str:
+    """Return what is wrong with a document, as the error of its decoder says."""
+    match error:
+        case KeyError():
+            return f"the field {error} is missing"
+        case _:
+            return str(error)
+
+
 def _route(item: dict[str, Any]) -> Route:
-    timeout_ms = finite_number(item["timeout_ms"])
+    timeout_ms = _finite(item, "timeout_ms")
     return Route(
         name=item["name"],
         host=item["host"],
@@ -62,9 +99,9 @@
         target=_target(item),
         idempotent=item["type"] == "idempotent",
         timeout_ms=timeout_ms,
-        latency_objective_ms=finite_number(item.get("target_latency_ms") or timeout_ms),
-        max_attempts=max(1, _count(item.get("max_attempts") or 1)),
-        priority=_count(item.get("priority") or 0),
+        latency_objective_ms=_finite(item, "target_latency_ms", timeout_ms),
+        max_attempts=max(1, _whole(item, "max_attempts", 1)),
+        priority=_whole(item, "priority", 0),
         public=_public(item),
     )
 
@@ -83,15 +120,13 @@
         shards = tuple(item["gather"])
         return ToAllShards(
             shards,
-            _count(item["top_k"]),
-            finite_number(item.get("min_coverage") or 0.0),
+            _field("top_k", _count, item["top_k"]),
+            _finite(item, "min_coverage", 0.0),
         )
     if item.get("weighted_backends"):
         parts = item["weighted_backends"]
         return ToWeightedServices(
-            tuple(
-                WeightedService(p["backend"], finite_number(p["weight"])) for p in parts
-            )
+            tuple(WeightedService(p["backend"], _finite(p, "weight")) for p in parts)
         )
     return ToService(item["backend"])
 
@@ -100,22 +135,39 @@
     return ServiceTraits(
         name=item["name"],
         health_path=item.get("health_path") or "/",
-        max_connections=max(1, _count(item.get("max_conns") or 1)),
-        cold_start_ms=finite_number(item.get("cold_start_s") or 0.0) * MS_PER_S,
-        cold_requests_per_s=finite_number(item.get("warmup_per_s") or 0.0),
+        max_connections=max(1, _whole(item, "max_conns", 1)),
+        cold_start_ms=_finite(item, "cold_start_s", 0.0) * MS_PER_S,
+        cold_requests_per_s=_finite(item, "warmup_per_s", 0.0),
     )
 
 
 def _limits(item: dict[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        _count(item.get("max_header_bytes") or defaults.max_header_bytes),
-        _count(item.get("max_body_bytes") or defaults.max_body_bytes),
-        finite_number(item.get("header_timeout_ms") or defaults.header_timeout_ms),
-        finite_number(item.get("idle_timeout_ms") or defaults.idle_timeout_ms),
+        _whole(item, "max_header_bytes", defaults.max_header_bytes),
+        _whole(item, "max_body_bytes", defaults.max_body_bytes),
+        _finite(item, "header_timeout_ms", defaults.header_timeout_ms),
+        _finite(item, "idle_timeout_ms", defaults.idle_timeout_ms),
     )
 
 
+def _finite(item: dict[str, Any], key: str, default: float | None = None) -> float:
+    value = item[key] if default is None else item.get(key) or default
+    return _field(key, finite_number, value)
+
+
+def _whole(item: dict[str, Any], key: str, default: int) -> int:
+    return _field(key, _count, item.get(key) or default)
+
+
+def _field(key: str, convert: Callable[[Any], T], value: Any) -> T:
+    """Convert the value of a field; an error names the field."""
+    try:
+        return convert(value)
+    except MALFORMED_INPUT_ERRORS as error:
+        raise ValueError(f"{key}: {error}") from error
+
+
 def decode_leaf(stored: StoredObject) -> Leaf:
     """Decode a leaf's entry in the directory.
 
@@ -219,7 +271,9 @@
 
 __all__ = [
     "PlatformDecoders",
+    "configuration_from",
     "decode_configuration",
     "decode_leaf",
     "decode_version_order",
+    "reason_of",
 ]
