--- a/src/snipemount/serving/kind_feed.py
+++ b/src/snipemount/serving/kind_feed.py
@@ -36,8 +36,7 @@
 FIRST_BACKOFF_MS = 150.0
 JITTER_RATIO = 0.4
 FAILURES_UNTIL_LOST = 2
-# A listing of so many objects is one call, as a watch is.
-MAX_OBJECTS_LISTED = 50
+MAX_OBJECTS_LISTED = 50  # one page, so that a listing is one call like a watch
 
 
 class Subscriber(Protocol):
@@ -305,10 +304,9 @@
 
     @property
     def _needs_listing(self) -> bool:
-        """Whether an old state is listed rather than watched.
+        """Whether an old state is listed, as a store may answer no watch for a while.
 
-        A store that is about to drop its history may answer no watch, not even one that
-        need not wait, and the state would get too old meanwhile.
+        It may do so before it drops its history, also where a watch need not wait.
         """
         age_limit_ms = self.age_limits.age_limit_ms(first_in_line=True)
         return len(self._objects) <= MAX_OBJECTS_LISTED and self.age_ms >= age_limit_ms
--- a/src/snipemount/usage/stored_counts.py
+++ b/src/snipemount/usage/stored_counts.py
@@ -1,7 +1,7 @@
 """Stored object in which a collector keeps the counts of daemons.
 
 `organisations` lists names once; the counts of a process are in the same order, without
-the zeros at the end: `{"organisations": ["a", "b"], "windows": {"353445120":
+the zeros at the end: `{"organisations": ["a", "b"], "windows": {"350000000":
 {"daemon": {"run": {"closed": true, "counts": [3, 1]}}}}}`.
 """
 
--- a/tests/steps/usage_counting_steps.py
+++ b/tests/steps/usage_counting_steps.py
@@ -24,7 +24,7 @@
 
     def opened(self, organisation, began_ms) -> int:
         """Record a request that has arrived."""
-        assert organisation == "ralo620"
+        assert organisation == "org-a"
         self.opened_count += 1
         self.open.add(self.opened_count)
         return self.opened_count
@@ -61,7 +61,7 @@
 
 @given("the requests of callers are counted")
 def step_counted(context):
-    count_requests(context, OfOrganisation("ralo620"))
+    count_requests(context, OfOrganisation("org-a"))
 
 
 @given("the requests of callers without a key are counted")
@@ -121,7 +121,7 @@
 
 @when("a request begins at {began_ms:g} ms and ends at {ended_ms:g} ms")
 def step_request(context, began_ms, ended_ms):
-    number = context.counter.opened("ralo620", began_ms - 5.0, lambda: began_ms)
+    number = context.counter.opened("org-a", began_ms - 5.0, lambda: began_ms)
     context.ends.append((ended_ms, number, began_ms))
 
 
@@ -139,7 +139,7 @@
 
 @when("a request arrives at {at_ms:g} ms, and nothing more is told of it")
 def step_never_ends(context, at_ms):
-    context.counter.opened("ralo620", at_ms, lambda: None)
+    context.counter.opened("org-a", at_ms, lambda: None)
 
 
 @when("the clock shows {wrong_ms:g} ms for a time, then {right_ms:g} ms again")
--- a/tests/steps/usage_merge_steps.py
+++ b/tests/steps/usage_merge_steps.py
@@ -49,7 +49,7 @@
 HISTORIES = st.lists(
     st.lists(st.sampled_from(("a", "b", "c")), max_size=12), min_size=1, max_size=4
 )
-SAMPLE = RelayUsage("edge-1", "run1", 70, True, (("ralo620", 412),))
+SAMPLE = RelayUsage("edge-1", "run1", 70, True, (("org-a", 412),))
 
 
 def messages_of(number, history):
@@ -200,7 +200,7 @@
         collector.add(RelayUsage("faulty-1", "run1", 9, True, names))
     assert collector.dropped == 2
     collector.add(RelayUsage("faulty-2", "run1", 9, True, names))
-    collector.add(RelayUsage("edge-1", "run1", 9, True, (("ralo620", 412),)))
+    collector.add(RelayUsage("edge-1", "run1", 9, True, (("org-a", 412),)))
     stored = UsageCollection()
     assert not decode_counts(collector._document(), stored, 9, 9)
     daemons = stored.daemons(9)
--- a/tests/steps/usage_report_steps.py
+++ b/tests/steps/usage_report_steps.py
@@ -175,7 +175,7 @@
     # A collector that adds counts afterwards would change a report that is merged anew.
     other = next(d for d in world.daemons if d.followed is None)
     other.usage.requests.ended(
-        other.usage.requests.opened("ralo620", lambda: None), window * WINDOW_MS + 1.0
+        other.usage.requests.opened("org-a", lambda: None), window * WINDOW_MS + 1.0
     )
     service.unreachable_from = set()
 
--- a/tests/steps/usage_world.py
+++ b/tests/steps/usage_world.py
@@ -25,7 +25,7 @@
 WINDOW_MS = 5000.0
 DUE_MS = 10_000.0
 CALLS_PER_S = 2.0
-ORGANISATIONS = ("ralo620", "tuma4", "quo8")
+ORGANISATIONS = ("org-a", "tuma4", "quo8")
 REQUEST_PERIOD_MS = 40.0
 RUN_MS = 30.0  # of a request
 ONE_WAY_MS = 1.0
