--- a/src/snipemount/decisions/requests/configuration_check.py
+++ b/src/snipemount/decisions/requests/configuration_check.py
@@ -68,9 +68,6 @@
         yield Contradiction(objective, route.latency_objective_ms, reason)
     if route.latency_objective_ms < 0:
         yield Invalid(objective, route.latency_objective_ms, "must be above 0")
-    if route.max_attempts > 1 and not route.idempotent:
-        reason = "the route is not idempotent, so one leaf at most may run a request"
-        yield Contradiction((*place, "max_attempts"), route.max_attempts, reason)
 
 
 def _target(
