Names of duties are read in platform/ only; limits of a process are checked

entry_usage compared the settings' list with the platform's name of the duty. The settings now state reports_usage and the duties that this build does not know, which are logged. A limit of the process that is negative or no number ended the start with a traceback, or was taken as it was; it is a SettingsError that names the key. boundary.feature has the examples, and three more names.

--- a/src/snipemount/entry_usage.py
+++ b/src/snipemount/entry_usage.py
@@ -27,7 +27,7 @@
     from .serving.store_feed import StoreFeed
     from .timers import LoopTimers
 
-USAGE_REPORT = "usage_report"
+LEASE_NAME = "usage_report"
 # Part of the time between the end of a stop and the kill.
 LAST_WRITE_LIMIT_MS = 350.0
 LAST_MESSAGE_MS = 50.0  # for the last counts to leave the process
@@ -116,7 +116,7 @@
         self.lease = DutyLease(
             store,
             timers,
-            USAGE_REPORT,
+            LEASE_NAME,
             name,
             duties.lease_ms,
             self._may_stand,
@@ -203,7 +203,9 @@
 ) -> EntryUsage | None:
     """Return the parts of a daemon; None if its settings ask for no usage report."""
     duties = settings.duties
-    if USAGE_REPORT not in duties.names or duties.address is None:
+    if duties.unknown_names:
+        logger.warning("duties_unknown", names=",".join(duties.unknown_names))
+    if not duties.reports_usage or duties.address is None:
         return None
     client = UsageClient(duties.address, timers)
     return EntryUsage(
@@ -211,4 +213,4 @@
     )
 
 
-__all__ = ["USAGE_REPORT", "EntryUsage", "make_usage"]
+__all__ = ["EntryUsage", "make_usage"]
--- a/src/snipemount/platform/node_file.py
+++ b/src/snipemount/platform/node_file.py
@@ -20,6 +20,7 @@
 DEFAULT_PATH = "/etc/snipemount/local.conf"
 MS_PER_S = 1000.0
 PRESSURE = "pressure"  # in the list of contracts
+USAGE_REPORT = "usage_report"  # in the list of duties
 # Windows of the usage report whose report may be due at a time: a stored object with
 # counts holds no more.
 MAX_DUE_WINDOWS = 60
@@ -71,8 +72,10 @@
 
     Parameters
     ----------
-    names : frozenset of str
-        Duties that are asked for; none by default.
+    reports_usage : bool
+        Whether the usage of organisations is reported.
+    unknown_names : tuple of str
+        Duties that are asked for and that this build does not perform.
     address : Endpoint or None
         Where they are performed.
     calls_per_s : float
@@ -85,7 +88,8 @@
         Time after the end of a window until its report is due.
     """
 
-    names: frozenset[str] = frozenset()
+    reports_usage: bool = False
+    unknown_names: tuple[str, ...] = ()
     address: Endpoint | None = None
     calls_per_s: float = 0.0
     lease_ms: int = 3000
@@ -255,13 +259,13 @@
             version_back_ms=fields.number("bounds.rollback_ms", 5000.0),
         ),
         limits=ProcessLimits(
-            memory_mb=fields.number("limits.memory_mb", 0.0),
-            max_descriptors=int(fields.number("limits.max_fds", 0.0)),
+            memory_mb=fields.limit("limits.memory_mb"),
+            max_descriptors=int(fields.limit("limits.max_fds")),
         ),
         duties=_duties(fields),
         caller_timeouts=ProgressTimeouts(
-            body_ms=fields.number("limits.body_timeout_ms", 30_000.0),
-            stall_ms=fields.number("limits.body_stall_ms", 5_000.0),
+            body_ms=fields.positive("limits.body_timeout_ms", 30_000.0),
+            stall_ms=fields.positive("limits.body_stall_ms", 5_000.0),
         ),
         leafs_under_pressure=PRESSURE in fields.names("contracts"),
     )
@@ -279,7 +283,8 @@
             f"({due_s:g}) / {MAX_DUE_WINDOWS}"
         )
     return DutySettings(
-        names=names,
+        reports_usage=USAGE_REPORT in names,
+        unknown_names=tuple(sorted(names - {USAGE_REPORT})),
         address=fields.endpoint("cloud_api.address"),
         calls_per_s=fields.limit("cloud_api.duty_per_s"),
         lease_ms=fields.whole("bounds.lease_ms", 3000, MAX_LEASE_MS),
--- a/tests/platform/boundary.feature
+++ b/tests/platform/boundary.feature
@@ -29,3 +29,6 @@
       | bounds.report_window_s=0.1  | bounds.report_window_s |
       | bounds.usage_late_s=0       | bounds.usage_late_s    |
       | cloud_api.duty_per_s=-1     | cloud_api.duty_per_s   |
+      | limits.memory_mb=nan        | limits.memory_mb       |
+      | limits.max_fds=-1           | limits.max_fds         |
+      | limits.body_stall_ms=0      | limits.body_stall_ms   |
