--- a/tests/steps/usage_world.py
+++ b/tests/steps/usage_world.py
@@ -159,7 +159,7 @@
         self.platform = FakePlatform(world.store, self.timers, world.faults)
         self.usage = EntryUsage(
             name,
-            DutySettings(frozenset(), None, CALLS_PER_S),
+            DutySettings(calls_per_s=CALLS_PER_S),
             world.service,
             self.timers,
             self.platform,
