--- a/review/9/case.py
+++ b/review/9/case.py
@@ -129,8 +129,12 @@
         after = hub.crashed_at[2] + CONTACT_S
         late = {request_id for at, request_id in hub.poison_runs if at > after}
     lost = sum(status not in (200, 503) for status in statuses.values())
-    bed.record.write(f"crashes {len(hub.crashed_at)}, leafs reached {len(hub.poison_runs)}")
-    bed.record.write(f"retries that reached leafs late: {len(late)}, allowed {MAX_RETRIES}")
+    bed.record.write(
+        f"crashes {len(hub.crashed_at)}, leafs reached {len(hub.poison_runs)}"
+    )
+    bed.record.write(
+        f"retries that reached leafs late: {len(late)}, allowed {MAX_RETRIES}"
+    )
     bed.record.write(f"non_idempotent requests of others: {len(statuses)}, lost {lost}")
     return len(late) <= MAX_RETRIES
 
--- a/review/bed_2.py
+++ b/review/bed_2.py
@@ -33,7 +33,6 @@
 HOST = "search.example"
 ZONE = "zone-a"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HEARTBEAT_S = 1.2
 
 
 def free_port(host: str) -> int:
@@ -89,7 +88,9 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, self.bed.ip, 0, limit=2**24)
+        self._server = await asyncio.start_server(
+            self._serve, self.bed.ip, 0, limit=2**24
+        )
         self.port = self._server.sockets[0].getsockname()[1]
         self.announce()
 
@@ -114,7 +115,9 @@
         try:
             while True:
                 head = await read_head(reader)
-                body = await reader.readexactly(int(head.headers.get("content-length", "0")))
+                body = await reader.readexactly(
+                    int(head.headers.get("content-length", "0"))
+                )
                 if head.headers.get("x-expect-instance", self.name) != self.name:
                     writer.write(
                         b"HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
@@ -160,7 +163,9 @@
         self.readiness = free_port(ip)
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write_settings(self, seeds: str, bootstrap: bool, changed: dict[str, object]) -> None:
+    def write_settings(
+        self, seeds: str, bootstrap: bool, changed: dict[str, object]
+    ) -> None:
         """Write the settings of a machine of sites/wgch-search.toml, with changes."""
         fields: dict[str, object] = {
             "node_name": self.name,
@@ -241,7 +246,12 @@
         }
         with (self.bed.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=variables, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=variables,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         self.bed.record.write(f"platform starts {self.name}")
 
@@ -266,7 +276,9 @@
         try:
             async with asyncio.timeout(0.5):
                 reader, writer = await asyncio.open_connection(self.ip, self.readiness)
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                writer.write(
+                    b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                )
                 head = await read_head(reader)
                 writer.close()
                 return head.status == 200
@@ -307,7 +319,9 @@
             # Segments and buffers of an ordinary network; loopback has segments of 64 KB.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
-        await asyncio.get_running_loop().sock_connect(sock, (self.daemon.ip, self.daemon.front))
+        await asyncio.get_running_loop().sock_connect(
+            sock, (self.daemon.ip, self.daemon.front)
+        )
         self.reader, self.writer = await asyncio.open_connection(sock=sock, limit=2**16)
         return self
 
@@ -327,7 +341,9 @@
         if body or method == "POST":
             head += f"Content-Length: {len(body)}\r\n"
         self.writer.write(head.encode() + b"\r\n" + body)
-        self.bed.record.write(f"caller sends {request_id} {method} {path} body {len(body)}")
+        self.bed.record.write(
+            f"caller sends {request_id} {method} {path} body {len(body)}"
+        )
 
     async def receive(self, request_id: str, limit_s: float = 15.0) -> Answer:
         answer = await self._receive(limit_s)
@@ -372,7 +388,6 @@
         self.leafs: list[Leaf] = []
         self.version = 0
         self.first_port = free_port(self.ip)
-        self._tasks: list[asyncio.Task] = []
 
     async def start_store(self) -> None:
         self._runner = web.AppRunner(self.platform.make_app(), access_log=None)
@@ -416,7 +431,9 @@
         self.leafs.append(leaf)
         return leaf
 
-    async def add_daemon(self, name: str, changed: dict[str, object] | None = None) -> Daemon:
+    async def add_daemon(
+        self, name: str, changed: dict[str, object] | None = None
+    ) -> Daemon:
         parts = self.ip.split(".")
         ip = ".".join([*parts[:3], str(2 + len(self.daemons))])
         daemon = Daemon(self, name, ip)
@@ -442,7 +459,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def route(name: str, service: str | list[str], idempotent: bool = True, **fields) -> dict:
+def route(
+    name: str, service: str | list[str], idempotent: bool = True, **fields
+) -> dict:
     found = {
         "name": name,
         "host": HOST,
@@ -479,7 +498,12 @@
         print(f"case {case}: rule {verdict}, TROUBLE={int(TROUBLE)}")
         return {True: 0, False: 1, None: 2}[held]
 
-    sys.exit(asyncio.run(main()))
+    try:
+        status = asyncio.run(main())
+    except Exception as error:  # noqa: BLE001
+        print(f"case {case}: could not run: {error!r}")
+        status = 2
+    sys.exit(status)
 
 
 # A machine of demands/deyps-snipe-grown.toml, as its sheet and site file state it.
