An answer with a folded line reaches no caller

What callers saw: of a line that begins with a blank or a tab, a 200 in which the line was joined to the value of the field before it, the receipt included ("X-Server-Stamp: s-r0 X-A: b").

Cause: the library's parser unfolds lines of responses, so the reader never saw that the head held one.

--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -21,3 +21,27 @@
       | HTTP/0.9 200 OK                  |
       | \r\nHTTP/1.1 200 OK              |
     Then the caller of each gets 502, and no query takes the answer as a part
+
+  # Callers got the answer, and the folded line as the end of its receipt.
+  Scenario: A field name with a blank or a control byte, or none
+    Given a daemon, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line    |
+      | \x20X-A: b      |
+      | \x09X-A: b      |
+      | X-A: b\r\n\x20c |
+      | \x20            |
+      | X-A\x20: b      |
+      | X\x20A: b       |
+      | X\x09A: b       |
+      | X\x00A: b       |
+      | X\x01A: b       |
+      | \x0bX-A: b      |
+      | X-A\x1f: b      |
+      | X\x7fA: b       |
+      | X\x85A: b       |
+      | X\xa0A: b       |
+      | X\xe9A: b       |
+      | : b             |
+      | no colon        |
+    Then the caller of each gets 502, and no query takes the answer as a part
