--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -45,3 +45,16 @@
       | : b             |
       | no colon        |
     Then the caller of each gets 502, and no query takes the answer as a part
+
+  # The caller's connection ended without an answer; queries took the part.
+  Scenario: A control byte in a field's value
+    Given a daemon, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line |
+      | X-A: b\x00   |
+      | X-A: b\x01   |
+      | X-A: b\x0b   |
+      | X-A: \x1fb   |
+      | X-A: b\x7f   |
+      | X-A: b\rc    |
+    Then the caller of each gets 502, and no query takes the answer as a part
