A bare line feed in a head makes no second field

What callers saw: a 200 with two fields where the leaf had stated one value with a line feed; a head could end at a bare line feed, too. POSTs whose broken answer stated that they had not run got a 503.

Cause: the library's parser takes a line feed alone as the end of a line.

Change: lines end with CR LF only. RFC 9112 (2.2) leaves a bare line feed to the recipient, but RFC 9110 (5.5) calls a value with one dangerous, and what is passed on would have another structure than what the leaf wrote.

Evidence: all 3 forms reached callers before, and none after.

--- a/src/snipemount/response_head.py
+++ b/src/snipemount/response_head.py
@@ -10,7 +10,7 @@
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
 # Many servers leave out the space before an empty reason phrase.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + TEXT + rb")?\r\n")
-FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r?\n)*+(\r?\n)?")
+FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*+(\r\n)?")
 MAX_QUOTED_BYTES = 60
 
 
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -58,3 +58,24 @@
       | X-A: b\x7f   |
       | X-A: b\rc    |
     Then the caller of each gets 502, and no query takes the answer as a part
+
+  # The statement that it had not run was believed, and a POST sent to a second leaf.
+  Scenario: What a head that is not valid states is not believed
+    Given a daemon, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line                      |
+      | X-Not-Executed: 1\r\nX-A: b\x01   |
+      | X-Not-Executed: 1\r\n\x20X-A: b   |
+      | X-Not-Executed: 1\r\nX-A: b\nc: d |
+    Then the caller of each gets 502, and no query takes the answer as a part
+    And no POST was sent to a second leaf
+
+  # The caller got two fields where the leaf had stated one.
+  Scenario: A line that ends with a bare line feed
+    Given a daemon, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line      |
+      | X-A: b\nX-C: d    |
+      | X-A: b\n\nX-C: d  |
+      | X-A: b\n\r\nX-C: d |
+    Then the caller of each gets 502, and no query takes the answer as a part
