A head that states its body's length twice or unclearly is not valid

What callers saw: where the library has no compiled parser, the body cut to the second of two Content-Length fields, as a complete 200. With either parser a body in the transfer coding gzip as the leaf's plain body.

Cause: the parsers judge these heads differently, and neither refuses a coding that the request didn't ask for.

Change: the statement of a valid head has at most one Content-Length, of digits, or one Transfer-Encoding, which is chunked.

Answers with odd but valid heads are passed on by both, as before.

--- a/src/snipemount/response_head.py
+++ b/src/snipemount/response_head.py
@@ -11,6 +11,11 @@
 # Many servers leave out the space before an empty reason phrase.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + TEXT + rb")?\r\n")
 FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*+(\r\n)?")
+FRAMING_FIELD = re.compile(rb"\n((?i:content-length|transfer-encoding):[^\r]*+)")
+# No transfer coding but `chunked` is asked for.
+FRAMING = re.compile(
+    rb"(?i:content-length:[\t ]*[0-9]+|transfer-encoding:[\t ]*chunked)[\t ]*"
+)
 MAX_QUOTED_BYTES = 60
 
 
@@ -27,6 +32,7 @@
 
     def __init__(self) -> None:
         self._rest = b""  # what is not checked yet, after the last line's end
+        self._framing: list[bytes] = []
         self.status = 0
         self.is_complete = False
 
@@ -47,6 +53,7 @@
         lines = FIELD_LINES.match(received, start)
         assert lines is not None  # it also matches no line
         end = lines.end()
+        self._check_framing(FRAMING_FIELD.findall(received, start - 1, end))
         if lines[1]:
             self.is_complete = True
             return end - len(self._rest)
@@ -63,6 +70,12 @@
         self.status = int(line[1])
         return line.end()
 
+    def _check_framing(self, fields: list[bytes]) -> None:
+        """Check that the head states at most once, and clearly, how its body ends."""
+        self._framing += fields
+        if len(self._framing) > 1 or not all(map(FRAMING.fullmatch, self._framing)):
+            raise MalformedResponseError(f"unclear length: {self._framing[:2]!r}")
+
 
 def _quote(received: bytes, start: int) -> str:
     return repr(received[start : start + MAX_QUOTED_BYTES])
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -79,3 +79,48 @@
       | X-A: b\n\nX-C: d  |
       | X-A: b\n\r\nX-C: d |
     Then the caller of each gets 502, and no query takes the answer as a part
+
+  # Of two lengths, one reader of the library took the second; a coding was passed over.
+  Scenario Outline: A head that states its body's length in two ways or unclearly
+    Given <a daemon>, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line                                        |
+      | Content-Length: 16                                  |
+      | Content-Length: 5                                   |
+      | content-length : 5                                  |
+      | Transfer-Encoding: gzip                             |
+      | Transfer-Encoding: gzip, chunked                    |
+      | Transfer-Encoding: chunked\r\nContent-Length: 16    |
+    Then the caller of each gets 502, and no query takes the answer as a part
+
+    Examples:
+      | a daemon                      |
+      | a daemon                      |
+      | a daemon with a Python parser |
+
+  Scenario Outline: Valid answers are passed on: <a daemon>
+    Given <a daemon>, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line        |
+      | X-A:                |
+      | X-A:b               |
+      | X-A: b\x09c         |
+      | X-A: b\xc3\xa9      |
+      | X-A: b: c           |
+      | !#$%&'*+-.^_`~09: b |
+      | Transfer-Encoding: chunked |
+      | transfer-encoding:Chunked\x20 |
+    Then the caller of each gets the leaf's status and body
+    When its leafs answer with each of
+      | status line          |
+      | HTTP/1.1 200         |
+      | HTTP/1.1 200\x20     |
+      | HTTP/1.0 299 \xc3\xa9 |
+      | HTTP/1.1 400 Any     |
+      | HTTP/1.1 599 Any     |
+    Then the caller of each gets the leaf's status and body
+
+    Examples:
+      | a daemon                      |
+      | a daemon                      |
+      | a daemon with a Python parser |
