A field that is not UTF-8 is left out, and the answer delivered

What callers saw: where the library is not compiled, their connection ended although the request had run; else the field without that byte.

Cause: the head is valid (RFC 9110, section 5.5), but the library's writers only write UTF-8: one raises, the other leaves out what it can't write.

Change: a field that can't be passed on unchanged isn't passed on. A receipt that can't is none, so that a success with it is not delivered.

Evidence: both forms failed with both writers before, and pass after.

--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -244,9 +244,13 @@
         if "Content-Encoding" in headers:
             return NoValidResponse(NoValidResponseReason.MALFORMED)
         forwarded = names.end_to_end(
-            headers.items(), headers.get("Connection", ""), frozenset()
+            filter(_has_text, headers.items()),
+            headers.get("Connection", ""),
+            frozenset(),
         )
         receipt = headers.get(names.RECEIPT, "")
+        if not _is_text(receipt):
+            receipt = ""
         if 200 <= message.code < 300 and not receipt:
             return NoValidResponse(NoValidResponseReason.MALFORMED)
         return LeafAnswer(message.code, forwarded, reader.body, receipt)
@@ -283,6 +287,21 @@
         self._received, self._parsed = b"", 0
 
 
+def _is_text(value: str) -> bool:
+    """Return whether a value is UTF-8: others cannot be passed on unchanged."""
+    if value.isascii():
+        return True
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _has_text(field: tuple[str, str]) -> bool:
+    return _is_text(field[1])
+
+
 def _notice(reader: ResponseReader) -> LeafNotice | None:
     """Return what the leaf states; None if the response is not known to be its."""
     message = reader.message
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -124,3 +124,19 @@
       | a daemon                      |
       | a daemon                      |
       | a daemon with a Python parser |
+
+  # With one writer of the library the caller's connection ended without an answer, with
+  # the other it got a value without that byte.
+  Scenario Outline: A field that is not UTF-8 is left out: <a daemon>
+    Given <a daemon>, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | further line |
+      | X-A: b\xe9   |
+      | X-A: \xffb   |
+    Then the caller of each gets the leaf's status and body
+    And no caller gets the field X-A
+
+    Examples:
+      | a daemon                      |
+      | a daemon                      |
+      | a daemon with a Python parser |
