What an answer with a broken body states is not believed

What callers saw: 503 (no_leaf, leaf_limits) after each leaf of a service had once sent a broken answer that stated Server-Leaving: 1 or Server-Limit: 0.

Cause: of an answer that wasn't valid the load was dropped, but what the leaf stated about leaving, its limit and its rest was read from the same bytes.

Change: the report of a response that is not valid holds no statement.

--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -269,13 +269,12 @@
             done(report)
 
     def _report(self, outcome: AttemptOutcome) -> AttemptReport:
+        """Return the report; a response that is not valid states nothing."""
         reader = self._reader
-        if reader is None or reader.message is None:
+        if reader is None or isinstance(outcome, NoValidResponse):
             bytes_read = 0 if reader is None else reader.bytes_read
-            return AttemptReport(outcome, None, bytes_read, notice=None)
-        load = None
-        if not isinstance(outcome, NoValidResponse):
-            load = parse_load(reader.message.headers.get(names.LOAD, ""))
+            return AttemptReport(outcome, bytes_read=bytes_read)
+        load = parse_load(reader.message.headers.get(names.LOAD, ""))
         notice = _notice(reader)
         return AttemptReport(outcome, load, reader.bytes_read, notice=notice)
 
@@ -303,9 +302,9 @@
 
 
 def _notice(reader: ResponseReader) -> LeafNotice | None:
-    """Return what the leaf states; None if the response is not known to be its."""
+    """Return what the leaf states; None if the response is another leaf's."""
     message = reader.message
-    if message.code == MISDIRECTED_STATUS or reader.is_to_other_request:
+    if message.code == MISDIRECTED_STATUS:
         return None
     return parse_notice(message.code, message.headers)
 
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -140,3 +140,14 @@
       | a daemon                      |
       | a daemon                      |
       | a daemon with a Python parser |
+
+  # One broken answer of each leaf, and requests to its service were refused.
+  Scenario Outline: What an answer with a broken body states is not believed: <line>
+    Given a daemon, and a service whose leafs are in trouble
+    When its leafs state <line> in answers whose body is broken, then answer soundly
+    Then the caller gets the sound answer
+
+    Examples:
+      | line              |
+      | Server-Leaving: 1 |
+      | Server-Limit: 0   |
