Every reader of answers goes by the same statement of a valid head

What was seen: the store's client, usage reports, the command line, checks of backend servers and the soak's callers believed answers with folded lines, control bytes in a value and bare line feeds; some also a status of 000 or 999, and HTTP/2.0.

Cause: aiohttp's client believes what its parser lets pass.

Change: its connections check the bytes of each head by response_head.py before the parser sees them; the call then fails as for bytes that are no HTTP. The soak reports such an answer of a daemon as a violation.

Evidence: six of seven readers failed before, and pass after. Links between daemons refused all these heads already (websockets checks them itself); their test stays and nothing was changed for them.

--- a/src/snipemount/adapters/backend_http.py
+++ b/src/snipemount/adapters/backend_http.py
@@ -8,6 +8,7 @@
 import aiohttp
 import attrs
 
+from ..checked_connector import CheckedConnector
 from ..decisions.servers.owner_messages import Lost, NotConnected, Refused, Stopped
 from ..errors import DecodeError
 from ..model.exchange import Reason
@@ -129,7 +130,7 @@
 
     @staticmethod
     def _make_session() -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=3600)
+        connector = CheckedConnector(limit=1, keepalive_timeout=3600)
         return aiohttp.ClientSession(
             connector=connector,
             timeout=aiohttp.ClientTimeout(total=None),
@@ -175,7 +176,7 @@
                 outcome = await self._read_outcome(response, exchange)
         except aiohttp.ClientConnectorError:
             outcome = NotConnected()
-        except aiohttp.ClientPayloadError:
+        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
             outcome = Lost(Reason.MALFORMED)
         except (aiohttp.ClientError, OSError):
             outcome = Lost(Reason.CONNECTION_LOST)
--- a/src/snipemount/client.py
+++ b/src/snipemount/client.py
@@ -13,6 +13,7 @@
 import cappa
 
 from .adapters.admin_routes import PREFIX
+from .checked_connector import CheckedConnector
 from .errors import RemoteError, ResultCode
 
 if TYPE_CHECKING:
@@ -82,7 +83,9 @@
         url = self.url.rstrip("/") + PREFIX + path
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(
+                    connector=CheckedConnector(), timeout=timeout
+                ) as session,
                 session.request(
                     method, url, json=body, headers=headers, ssl=self._ssl()
                 ) as response,
--- a/src/snipemount/commands/demo.py
+++ b/src/snipemount/commands/demo.py
@@ -18,6 +18,7 @@
 import uvloop
 
 from ..adapters.caller_http import QUERY_PATH
+from ..checked_connector import CheckedConnector
 from ..errors import ResultCode
 from ..standins.deployments import Deployment
 from ..standins.harness import LocalDeployment
@@ -183,7 +184,7 @@
         """
         await self._deployment.start()
         try:
-            async with aiohttp.ClientSession() as session:
+            async with aiohttp.ClientSession(connector=CheckedConnector()) as session:
                 await self._run_load(session, WARM_UP_LOAD_MS)
                 await self._inject_fault()
                 self._measuring = True
--- a/src/snipemount/platform/store_client.py
+++ b/src/snipemount/platform/store_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..checked_connector import CheckedConnector
 from ..decisions.fleet.state_age import MAX_WATCH_WAIT_MS
 from ..errors import MALFORMED_INPUT_ERRORS
 from ..ports.platform import (
@@ -164,7 +165,7 @@
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(force_close=True)
+            connector = CheckedConnector(force_close=True)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/src/snipemount/platform/usage_client.py
+++ b/src/snipemount/platform/usage_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from ..checked_connector import CheckedConnector
 from ..ports.usage import (
     ReportAccepted,
     ReportRejected,
@@ -128,7 +129,7 @@
             trace = aiohttp.TraceConfig()
             trace.on_connection_create_end.append(self._on_connected)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True),
+                connector=CheckedConnector(force_close=True),
                 trace_configs=[trace],
             )
         return self._session
--- a/src/snipemount/response_head.py
+++ b/src/snipemount/response_head.py
@@ -16,6 +16,7 @@
 FRAMING = re.compile(
     rb"(?i:content-length:[\t ]*[0-9]+|transfer-encoding:[\t ]*chunked)[\t ]*"
 )
+SWITCHING_PROTOCOLS = 101
 MAX_QUOTED_BYTES = 60
 
 
@@ -36,6 +37,11 @@
         self.status = 0
         self.is_complete = False
 
+    @property
+    def is_interim(self) -> bool:
+        """Whether the head of another response follows at once."""
+        return 100 <= self.status < 200 and self.status != SWITCHING_PROTOCOLS
+
     def feed(self, data: bytes) -> int:
         """Check bytes; return how many of them belong to the head.
 
--- a/src/snipemount/soak/callers.py
+++ b/src/snipemount/soak/callers.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..checked_connector import CheckedConnector
 from ..platform import headers as header_names
 from .deployment import FRONT_PORT, HOST, READINESS_PORT
 from .records import CallerOutcome, CallerRequest
@@ -38,7 +39,7 @@
     async def run(self) -> None:
         """Probe all daemons periodically until cancelled."""
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(force_close=True)
+        connector = CheckedConnector(force_close=True)
         async with aiohttp.ClientSession(
             timeout=timeout, connector=connector
         ) as session:
@@ -104,7 +105,7 @@
             timeout = aiohttp.ClientTimeout(
                 total=RESPONSE_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
             )
-            connector = aiohttp.TCPConnector(limit=1)
+            connector = CheckedConnector(limit=1)
             async with aiohttp.ClientSession(
                 timeout=timeout, connector=connector
             ) as session:
@@ -135,6 +136,9 @@
         except TimeoutError:
             request.outcome = CallerOutcome.ABANDONED
             reusable = False
+        except aiohttp.ClientResponseError:
+            request.outcome = CallerOutcome.MALFORMED
+            reusable = False
         except (aiohttp.ClientError, OSError):
             request.outcome = CallerOutcome.CONNECTION_LOST
             reusable = False
--- a/src/snipemount/soak/checks.py
+++ b/src/snipemount/soak/checks.py
@@ -55,6 +55,8 @@
 
 
 def _response_violations(request: CallerRequest, runs: list[LeafArrival]) -> list[str]:
+    if request.outcome is CallerOutcome.MALFORMED:
+        return [f"{request.request_id}: the response is not valid HTTP"]
     if request.outcome is not CallerOutcome.ANSWERED or not 200 <= request.status < 300:
         return []
     services = {f"{run.leaf_id}.{run.request_id}": run.service for run in runs}
--- a/src/snipemount/soak/records.py
+++ b/src/snipemount/soak/records.py
@@ -11,12 +11,14 @@
 class CallerOutcome(Enum):
     """How a caller's request ended.
 
-    `ANSWERED` means a complete HTTP response of any status, `CONNECTION_LOST` a
-    connection that broke before that, `UNREACHABLE` that no connection could be
-    opened, and `ABANDONED` that the caller stopped waiting.
+    `ANSWERED` means a complete HTTP response of any status, `MALFORMED` one that is
+    not valid HTTP, `CONNECTION_LOST` a connection that broke before that,
+    `UNREACHABLE` that no connection could be opened, and `ABANDONED` that the caller
+    stopped waiting.
     """
 
     ANSWERED = "answered"
+    MALFORMED = "malformed"
     CONNECTION_LOST = "cut"
     UNREACHABLE = "unreachable"
     ABANDONED = "left"
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -151,3 +151,30 @@
       | line              |
       | Server-Leaving: 1 |
       | Server-Limit: 0   |
+
+  # What a broken answer stated was believed.
+  Scenario Outline: Others believe no answer with such a head either: <reader>
+    When <reader> gets a sound answer, and answers with each of
+      | further line   |
+      | \x20X-A: b     |
+      | X\x20A: b      |
+      | X\x01A: b      |
+      | X-A: b\x01     |
+      | X-A: b\nX-C: d |
+    Then only the sound answer is believed
+    When <reader> gets a sound answer, and answers with each of
+      | status line       |
+      | HTTP/1.1 000 None |
+      | HTTP/1.1 999 None |
+      | HTTP/2.0 200 OK   |
+    Then only the sound answer is believed
+
+    Examples:
+      | reader                      |
+      | a read of the store         |
+      | a watch of the store        |
+      | a usage report              |
+      | the command line            |
+      | a check of a backend server |
+      | a soak's caller             |
+      | a link to a daemon          |
