What follows a change of protocol is not read as an answer

What callers saw: a 200 that a leaf sent after 101 Switching Protocols, which no request asks for.

Change: 101 is no valid status to a request that asks for no other protocol (RFC 9110, 15.2.2); none of ours does (links between daemons have a reader of their own).

Evidence: failed before with both parsers (200), passes after with 502.

--- a/src/snipemount/response_head.py
+++ b/src/snipemount/response_head.py
@@ -8,15 +8,17 @@
 
 TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
-# Many servers leave out the space before an empty reason phrase.
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + TEXT + rb")?\r\n")
+# No change of protocol (101) is asked for. Many servers leave out the space before an
+# empty reason phrase.
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] (?!101)([1-5][0-9]{2})(?: " + TEXT + rb")?\r\n"
+)
 FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*+(\r\n)?")
 FRAMING_FIELD = re.compile(rb"\n((?i:content-length|transfer-encoding):[^\r]*+)")
 # No transfer coding but `chunked` is asked for.
 FRAMING = re.compile(
     rb"(?i:content-length:[\t ]*[0-9]+|transfer-encoding:[\t ]*chunked)[\t ]*"
 )
-SWITCHING_PROTOCOLS = 101
 MAX_QUOTED_BYTES = 60
 
 
@@ -40,7 +42,7 @@
     @property
     def is_interim(self) -> bool:
         """Whether the head of another response follows at once."""
-        return 100 <= self.status < 200 and self.status != SWITCHING_PROTOCOLS
+        return 100 <= self.status < 200
 
     def feed(self, data: bytes) -> int:
         """Check bytes; return how many of them belong to the head.
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -22,6 +22,19 @@
       | \r\nHTTP/1.1 200 OK              |
     Then the caller of each gets 502, and no query takes the answer as a part
 
+  # What follows in the other protocol was read as the answer.
+  Scenario Outline: A change of protocol that nobody asked for: <a daemon>
+    Given <a daemon>, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | status line                                             |
+      | HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK |
+    Then the caller of each gets 502, and no query takes the answer as a part
+
+    Examples:
+      | a daemon                      |
+      | a daemon                      |
+      | a daemon with a Python parser |
+
   # Callers got the answer, and the folded line as the end of its receipt.
   Scenario: A field name with a blank or a control byte, or none
     Given a daemon, and a service whose leafs are in trouble
