--- a/src/snipemount/platform/response_reader.py
+++ b/src/snipemount/platform/response_reader.py
@@ -84,7 +84,7 @@
             auto_decompress=False,
         )
         self._head = ResponseHead()
-        self._chunks = ChunkedBody()
+        self._chunks = ChunkedBody()  # finds where a chunked body may end
         self._payload: Any = None
         self._body = bytearray()
         self._skipped = 0
--- a/src/snipemount/response_head.py
+++ b/src/snipemount/response_head.py
@@ -34,7 +34,8 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""  # what is not checked yet, after the last line's end
+        # Not checked yet; begins with the line feed that ended the last checked line.
+        self._rest = b""
         self._framing: list[bytes] = []
         self.status = 0
         self.is_complete = False
@@ -56,7 +57,6 @@
             self._rest += data
             return len(data)
         received = self._rest + data
-        # The line feed before a line is kept with it.
         start = 1 if self.status else self._read_status_line(received)
         lines = FIELD_LINES.match(received, start)
         assert lines is not None  # it also matches no line
--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -94,7 +94,7 @@
     Then the caller of each gets 502, and no query takes the answer as a part
 
   # Of two lengths, one reader of the library took the second; a coding was passed over.
-  Scenario Outline: A head that states its body's length in two ways or unclearly
+  Scenario Outline: A head that states its body's length in two ways or unclearly: <a daemon>
     Given <a daemon>, and a service whose leafs are in trouble
     When its leafs answer with each of
       | further line                                        |
