A connection that brought an answer that is not valid is not used again

What was seen: a success without a receipt, or with a content coding, was refused as malformed, but its connection stayed in use for as long as that answer's Keep-Alive said.

Cause: only the framing decided on reuse, not the verdict on the answer.

Change: the connection is closed unless the answer is believed.

Evidence: "A success response without a receipt is not accepted" now also asks for a closed connection; it failed before (idle) and passes after.

--- a/src/snipemount/platform/leaf_connection.py
+++ b/src/snipemount/platform/leaf_connection.py
@@ -224,10 +224,12 @@
 
     def _finish_response(self, reader: ResponseReader) -> None:
         message = reader.message
+        outcome = self._outcome(reader)
         has_more = self._parsed < len(self._received)
-        reuse = not (reader.unexpected_data or message.should_close or has_more)
+        is_valid = not isinstance(outcome, NoValidResponse)
+        must_close = reader.unexpected_data or message.should_close or has_more
         self.idle_limit_ms = _idle_limit_ms(message.headers.get("Keep-Alive", ""))
-        self._finish(self._outcome(reader), reuse=reuse)
+        self._finish(outcome, reuse=is_valid and not must_close)
 
     def _lose(self, reason: NoValidResponseReason) -> None:
         self._finish(NoValidResponse(reason), reuse=False)
--- a/tests/platform/leaf_connection.feature
+++ b/tests/platform/leaf_connection.feature
@@ -71,6 +71,7 @@
     Given a connection to a leaf with a pending request
     When the leaf sends a response without a receipt
     Then the request is lost
+    And the connection is closed
 
   Scenario: A refusal marked as not executed reports the request as not run
     Given a connection to a leaf with a pending request
