--- a/tests/platform/broken_answers.feature
+++ b/tests/platform/broken_answers.feature
@@ -22,6 +22,32 @@
       | \r\nHTTP/1.1 200 OK              |
     Then the caller of each gets 502, and no query takes the answer as a part
 
+  # The head before the answer was not valid, or the answer had neither id nor receipt.
+  Scenario Outline: Interim answers, and answers without an id or a receipt: <a daemon>
+    Given <a daemon>, and a service whose leafs are in trouble
+    When its leafs answer with each of
+      | status line                                                       |
+      | HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK                           |
+      | HTTP/1.1 100 Continue\r\nX-A: b\x01\r\n\r\nHTTP/1.1 200 OK          |
+      | HTTP/1.1 100 Continue\r\nX-A: b\r\n\x20c\r\n\r\nHTTP/1.1 200 OK      |
+      | HTTP/1.1 103 Early\r\nX\x20A: b\r\n\r\nHTTP/1.1 200 OK             |
+    Then the caller of each gets 502, and no query takes the answer as a part
+    When its leafs answer without an id and a receipt with each of
+      | status line                                                       |
+      | HTTP/1.1 000 None                                                 |
+      | HTTP/1.1 999 None                                                 |
+      | HTTP/1.1 503 None\r\nX-Not-Executed: 1\r\nX-A: b\x01               |
+      | HTTP/1.1 503 None\r\nX-Not-Executed: 1\r\n\x20X-A: b               |
+      | HTTP/1.1 421 None\r\nX-A: b\x01                                    |
+      | HTTP/1.1 400 None\r\nX-A: b\x01                                    |
+    Then the caller of each gets 502, and no query takes the answer as a part
+    And no POST was sent to a second leaf
+
+    Examples:
+      | a daemon                      |
+      | a daemon                      |
+      | a daemon with a Python parser |
+
   # What follows in the other protocol was read as the answer.
   Scenario Outline: A change of protocol that nobody asked for: <a daemon>
     Given <a daemon>, and a service whose leafs are in trouble
@@ -72,7 +98,7 @@
       | X-A: b\rc    |
     Then the caller of each gets 502, and no query takes the answer as a part
 
-  # The statement that it had not run was believed, and a POST sent to a second leaf.
+  # Callers got 503, a promise that the request had not run.
   Scenario: What a head that is not valid states is not believed
     Given a daemon, and a service whose leafs are in trouble
     When its leafs answer with each of
@@ -154,7 +180,7 @@
       | a daemon                      |
       | a daemon with a Python parser |
 
-  # One broken answer of each leaf, and requests to its service were refused.
+  # Where the head was read by itself, requests to the service were refused afterwards.
   Scenario Outline: What an answer with a broken body states is not believed: <line>
     Given a daemon, and a service whose leafs are in trouble
     When its leafs state <line> in answers whose body is broken, then answer soundly
--- a/tests/steps/broken_answer_steps.py
+++ b/tests/steps/broken_answer_steps.py
@@ -19,6 +19,7 @@
 # The library reads answers with Python code where it was not compiled.
 PYTHON_PARSER = {"AIOHTTP_NO_EXTENSIONS": "1"}
 BROKEN_ANSWERS = 6
+BODY_DELAY_S = 0.05
 
 
 def unescape(cell: str) -> str:
@@ -91,6 +92,8 @@
         self.daemon.more_variables.update(more_variables)
         self.forms: list[AnswerForm] = []
         self.runs: Counter[str] = Counter()
+        self.states_request = True
+        self.body_delay_s = 0.0
         self._servers: list[asyncio.Server] = []
 
     async def _start_faulty(self, ports: list[int]) -> None:
@@ -106,7 +109,12 @@
             request_id = fields["x-request-id"]
             self.runs[request_id] += 1
             stated = [f"X-Request-Id: {request_id}", f"X-Server-Stamp: s-{request_id}"]
-            writer.write(form.encode(stated))
+            answer = form.encode(stated if self.states_request else [])
+            head, end, body = answer.partition(b"\r\n\r\n")
+            writer.write(head + end)
+            if self.body_delay_s:
+                await asyncio.sleep(self.body_delay_s)
+            writer.write(body)
             await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -184,6 +192,14 @@
     context.answers = asyncio.run(play(context.bed, context.forms))
 
 
+@when("its leafs answer without an id and a receipt with each of")
+def step_answer_bare(context):
+    context.forms = forms_of(context.table, AnswerForm(SOUND_STATUS))
+    context.bed = BrokenBed(context.variables)
+    context.bed.states_request = False
+    context.answers = asyncio.run(play(context.bed, context.forms))
+
+
 @then("the caller of each gets 502, and no query takes the answer as a part")
 def step_refused(context):
     wrong = []
@@ -204,6 +220,7 @@
 async def play_statement(line: str) -> CallerAnswer:
     """Let all leafs state something in broken answers; return a sound answer."""
     bed = BrokenBed({})
+    bed.body_delay_s = BODY_DELAY_S  # so that the head is read by itself
     stating = f"Transfer-Encoding: chunked\r\n{line}"
     broken = AnswerForm(SOUND_STATUS, stating, b"no chunk size\r\n")
     try:
