--- a/benchmarks/entry_memory.py
+++ b/benchmarks/entry_memory.py
@@ -28,6 +28,7 @@
 from snipemount.decisions.servers.server_owner import ServerOwner
 from snipemount.model.fleet import BackendServer, ServerLeaf, ShardMap, Snapshot
 from snipemount.model.profile import Profile
+from snipemount.node.proof_gate import ProofGate
 
 BYTES_PER_KIB = 1024.0
 US_PER_S = 1e6
@@ -186,11 +187,11 @@
 
 def fill_quarantine(fingerprints: int) -> Callable[[], object]:
     """Fill the set of fingerprints known to be harmless; a step adds one more."""
-    quarantine = Quarantine()
+    gate = ProofGate(Quarantine())
     for number in range(fingerprints):
-        quarantine.mark_proven(f"{number:024x}", "v1")
+        gate.mark_proven(f"{number:024x}", "v1")
     sequence = count(10**9)
-    return lambda: quarantine.mark_proven(f"{next(sequence):024x}", "v1")
+    return lambda: gate.mark_proven(f"{next(sequence):024x}", "v1")
 
 
 def main() -> None:
--- a/src/snipemount/adapters/mesh_codec.py
+++ b/src/snipemount/adapters/mesh_codec.py
@@ -11,8 +11,8 @@
 
 from ..decisions.fleet.membership import Member
 from ..decisions.moves.canary_analysis import EvidenceReport
-from ..decisions.requests.quarantine import StrikeNotice
 from ..errors import DecodeError
+from ..model.crash import StrikeNotice
 from ..model.exchange import (
     Attempt,
     Exchange,
--- a/src/snipemount/adapters/prometheus_metrics.py
+++ b/src/snipemount/adapters/prometheus_metrics.py
@@ -98,6 +98,18 @@
             ("decision", "rank"),
             registry=registry,
         )
+        self._lost_connections = Counter(
+            "snipemount_lost_connections",
+            "Requests whose connection a leaf ended, by what a probe of it has shown.",
+            ("cause",),
+            registry=registry,
+        )
+        self._quarantine = Counter(
+            "snipemount_quarantine",
+            "Requests that leafs crashed on: crashes counted, refusals and tries.",
+            ("event",),
+            registry=registry,
+        )
         self._query_bytes = Counter(
             "snipemount_query_bytes_read",
             "Bytes read from leafs for queries over all shards.",
@@ -161,6 +173,14 @@
         """Count a request that was queued or refused in an overload."""
         self._admissions.labels(decision, rank).inc()
 
+    def lost_connection(self, cause: str) -> None:
+        """Count a request whose connection a leaf ended."""
+        self._lost_connections.labels(cause).inc()
+
+    def quarantine(self, event: str) -> None:
+        """Count what happened to a request that leafs crashed on."""
+        self._quarantine.labels(event).inc()
+
     def query_stages(self, stages: QueryStages) -> None:
         """Record the stages of a query over all shards."""
         for stage, time_ms in (
--- a/src/snipemount/adapters/relay_codec.py
+++ b/src/snipemount/adapters/relay_codec.py
@@ -8,6 +8,7 @@
 
 from ..errors import MALFORMED_INPUT_ERRORS, DecodeError
 from ..finite import finite_number
+from ..model.crash import CrashReport
 from ..model.relay import (
     LeafEstimate,
     RelayChange,
@@ -21,6 +22,7 @@
     SlowLeaf,
 )
 from ..ports.platform import Kind, StoredObject
+from .crash_codec import decode_answer, decode_strike, encode_answer, encode_strike
 
 LISTING = 0
 CHANGE = 1
@@ -126,25 +128,34 @@
 def _encode_evidence(evidence: RelayEvidence) -> list[Any]:
     """Return pairs, of which a build that knows only slow leafs ignores the others.
 
-    It reads the first field of a pair as an id, and no leaf has that of an estimate.
+    It reads the first field of a pair as an id, and no leaf has that of the others.
     """
     pairs: list[Any] = [[leaf.leaf_id, leaf.slowness] for leaf in evidence.leafs]
     for leaf in evidence.estimates:
         ratio = round(leaf.service_ratio * PER_RATIO)
         pairs.append([[leaf.leaf_id, ratio, round(leaf.limit * PER_LIMIT)], 0])
+    pairs += ([encode_strike(strike), 0] for strike in evidence.crashes.strikes)
+    pairs += ([encode_answer(answer), 0] for answer in evidence.crashes.answers)
     return pairs
 
 
 def _decode_evidence(pairs: list[Any]) -> RelayEvidence:
     leafs = []
     estimates = []
+    strikes = []
+    answers = []
     for key, value in pairs:
         match key:
             case [leaf_id, ratio, limit]:
                 estimates.append(_decode_estimate(leaf_id, ratio, limit))
+            case [_, _, _, _, _, _]:
+                strikes.append(decode_strike(key))
+            case [_, _, _, _]:
+                answers.append(decode_answer(key))
             case _:
                 leafs.append(SlowLeaf(str(key), finite_number(value)))
-    return RelayEvidence(tuple(leafs), tuple(estimates))
+    crashes = CrashReport(tuple(strikes), tuple(answers))
+    return RelayEvidence(tuple(leafs), tuple(estimates), crashes)
 
 
 def _decode_estimate(leaf_id: Any, ratio: Any, limit: Any) -> LeafEstimate:
--- a/src/snipemount/decisions/fleet/shares.py
+++ b/src/snipemount/decisions/fleet/shares.py
@@ -43,10 +43,16 @@
     return int.from_bytes(_rank(subject, name)) / 2.0 ** (8 * RANK_BYTES)
 
 
+def rank_of(subject: str, daemons: Iterable[str], own: str) -> int:
+    """Return how many daemons rank before this one for a subject."""
+    own_rank = _rank(subject, own)
+    return sum(_rank(subject, name) < own_rank for name in daemons)
+
+
 def _rank(subject: str, name: str) -> bytes:
     return hashlib.blake2b(
         f"{subject}/{name}".encode(), digest_size=RANK_BYTES
     ).digest()
 
 
-__all__ = ["phase_of", "share_of"]
+__all__ = ["phase_of", "rank_of", "share_of"]
--- a/src/snipemount/decisions/fleet/state_age.py
+++ b/src/snipemount/decisions/fleet/state_age.py
@@ -107,8 +107,12 @@
         return self.watch_wait_ms + WATCH_SILENCE_MS
 
 
+# Reports on crashes are few, and each call is charged for; a change comes at once.
+CRASH_REPORT_AGES = StateAgeLimits(watch_wait_ms=10_000.0, max_age_ms=20_000.0)
+
 __all__ = [
     "CHECK_PERIOD_MS",
+    "CRASH_REPORT_AGES",
     "MAX_WATCH_WAIT_MS",
     "OUTDATED_SEEK_MS",
     "READ_MS",
--- a/src/snipemount/decisions/fleet/zone_reachability.py
+++ b/src/snipemount/decisions/fleet/zone_reachability.py
@@ -69,7 +69,7 @@
     """
 
     def __init__(self, own_zone: str) -> None:
-        self._own_zone = own_zone
+        self.own_zone = own_zone
         self._zones: defaultdict[str, ZoneEvidence] = defaultdict(
             lambda: ZoneEvidence(0.0)
         )
@@ -88,7 +88,7 @@
 
     def note_unresponsive(self, zone: str, leaf_id: str, now_ms: float) -> bool:
         """Record an unresponsive leaf; return whether the zone has become cut off."""
-        if zone == self._own_zone:
+        if zone == self.own_zone:
             return False
         evidence = self._zones[zone]
         evidence.unresponsive.add(leaf_id)
@@ -106,7 +106,7 @@
         evidence.refused_ms = min(evidence.refused_ms, now_ms)
         if now_ms - evidence.refused_ms >= MIN_MS_REFUSED:
             return self.note_unresponsive(zone, leaf_id, now_ms)
-        if zone != self._own_zone:
+        if zone != self.own_zone:
             evidence.unresponsive.add(leaf_id)
         return False
 
@@ -120,7 +120,7 @@
             daemon for a while. A probe is then due at once.
         """
         evidence = self._zones[zone]
-        if zone == self._own_zone or zone in self._cut_off:
+        if zone == self.own_zone or zone in self._cut_off:
             return False
         if now_ms - evidence.responded_ms < MIN_MS_WITHOUT_RESPONSE:
             return False
--- a/src/snipemount/entry_daemon.py
+++ b/src/snipemount/entry_daemon.py
@@ -20,6 +20,7 @@
 from .adapters.relay_websocket import WebsocketRelay
 from .bounded_writer import BoundedWriter
 from .decisions.fleet.readiness_checks import ReadinessChecks
+from .decisions.fleet.state_age import CRASH_REPORT_AGES
 from .decisions.fleet.vm_capacity import max_running_legs
 from .decisions.fleet.zone_reachability import ZoneReachability
 from .decisions.leafs.leaf_choice import LeafChoice
@@ -27,6 +28,7 @@
 from .entry_gauges import (
     add_caller_gauges,
     add_capacity_gauges,
+    add_crash_gauges,
     add_directory_gauges,
     add_gateway_gauges,
     add_leaf_client_gauges,
@@ -67,7 +69,6 @@
     from aiohttp.web_request import BaseRequest
 
     from .model.leaf import Leaf
-    from .model.relay import FollowerMessage, RelayMessage
 
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 METRICS_PATH = "/metrics"
@@ -141,18 +142,19 @@
         self._context.overload = self._overload
         store = settings.store
         state_limits = age_limits(settings)
+        watch_limits = state_limits | {Kind.CRASH_REPORT: CRASH_REPORT_AGES}
         self._store = StoreClient(
             StoreAddress(f"http://{store.host}:{store.port}"),
             self._metrics,
             self._timers,
-            {kind: limits.watch_wait_ms for kind, limits in state_limits.items()},
+            {kind: limits.watch_wait_ms for kind, limits in watch_limits.items()},
         )
         peers = settings.peers
         self._relay = WebsocketRelay(
             peers.host,
             peers.port,
-            self._relay_snapshot,
-            self._on_relay_message,
+            lambda: self._store_feed.snapshot(),
+            lambda message: self._store_feed.on_follower_message(message),
             self.logger,
         )
         self._capacity_watch = CapacityWatch(
@@ -266,12 +268,6 @@
             error=repr(details.get("exception")),
         )
 
-    def _relay_snapshot(self) -> list[RelayMessage]:
-        return self._store_feed.snapshot()
-
-    def _on_relay_message(self, message: FollowerMessage) -> None:
-        self._store_feed.on_follower_message(message)
-
     async def _serve_readiness(self, request: BaseRequest) -> Response:
         ready = self.ready
         self._readiness_checks.note(ready, self._timers.now_ms())
@@ -292,6 +288,7 @@
         add_gateway_gauges(self._metrics, self.gateway)
         add_directory_gauges(self._metrics, self._context)
         add_overload_gauges(self._metrics, self._overload)
+        add_crash_gauges(self._metrics, self._context)
         add_capacity_gauges(self._metrics, self._capacity_watch)
         add_caller_gauges(self._metrics, self._caller_server.connections)
         add_leaf_client_gauges(self._metrics, self._leaf_client)
--- a/src/snipemount/entry_gauges.py
+++ b/src/snipemount/entry_gauges.py
@@ -50,6 +50,21 @@
     )
 
 
+def add_crash_gauges(metrics: PrometheusMetrics, context: ServingContext) -> None:
+    """Add gauges of the requests that leafs crash on."""
+    quarantine = context.crashes.quarantine
+    metrics.add_gauge(
+        "suspect_requests",
+        "Requests with crashes of leafs that no answer has cleared.",
+        lambda: quarantine.suspect_count,
+    )
+    metrics.add_gauge(
+        "quarantined_requests",
+        "Requests that are held back, as they crash leafs.",
+        lambda: quarantine.held_count(context.timers.now_ms()),
+    )
+
+
 def add_overload_gauges(metrics: PrometheusMetrics, overload: OverloadControl) -> None:
     """Add gauges of what is held back for overload."""
     metrics.add_gauge(
--- a/src/snipemount/model/forwarding.py
+++ b/src/snipemount/model/forwarding.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import Enum
+from functools import cached_property
 
 import attrs
 
-from .identity import CallerIdentity, Unchecked
+from .identity import CallerIdentity, OfOrganisation, Unchecked
 
 Headers = tuple[tuple[str, str], ...]
 # Position among all headers, name and value.
 PlacedHeaders = tuple[tuple[int, str, str], ...]
+FINGERPRINT_BYTES = 16
 
 
 @attrs.frozen(eq=False)
@@ -69,6 +72,31 @@
             headers.insert(position, (name, value))
         return tuple(headers)
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Hexadecimal digest that requests share which do the same for one caller.
+
+        It covers caller, host, method, target and body. A caller that was not checked
+        counts as what it states about itself.
+        """
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self._caller_text, self.host.lower(), self.method, self.target):
+            field = part.encode("utf-8", "surrogateescape")
+            digest.update(len(field).to_bytes(8, "big") + field)
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    @property
+    def _caller_text(self) -> str:
+        match self.caller:
+            case OfOrganisation(name):
+                return f"organisation:{name}"
+            case Unchecked():
+                stated = (f"{name}:{value}" for _, name, value in self.identity_headers)
+                return "\n".join(stated)
+            case _:
+                return "anonymous"
+
     def identified(self, caller: CallerIdentity) -> ForwardRequest:
         """Return the request with its caller's identity.
 
@@ -182,6 +210,7 @@
     ALL_REFUSED = "all_refused"
     STOPPING = "stopping"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"  # the request has crashed leafs before
 
 
 class FailureReason(Enum):
--- a/src/snipemount/model/leaf.py
+++ b/src/snipemount/model/leaf.py
@@ -51,6 +51,11 @@
         """Identity of the instance: leaf id and start time."""
         return self.leaf_id, self.started_wall_ms
 
+    @property
+    def software(self) -> str:
+        """Service and version, which tell what a request is run by."""
+        return f"{self.service}/{self.version}"
+
 
 @attrs.frozen
 class VersionOrder:
--- a/src/snipemount/model/relay.py
+++ b/src/snipemount/model/relay.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from .crash import CrashReport
+
 if TYPE_CHECKING:
     from ..ports.platform import Kind, StoredObject
 
@@ -110,10 +112,13 @@
         Slow leafs.
     estimates : tuple of LeafEstimate
         Leafs whose learnt capacity has changed.
+    crashes : CrashReport
+        Crashes of leafs, and the requests that they were running.
     """
 
     leafs: tuple[SlowLeaf, ...]
     estimates: tuple[LeafEstimate, ...] = ()
+    crashes: CrashReport = CrashReport()
 
 
 @attrs.frozen
--- a/src/snipemount/node/node.py
+++ b/src/snipemount/node/node.py
@@ -7,8 +7,9 @@
 import attrs
 
 from ..decisions.fleet.membership import HEARTBEAT_PERIOD_MS, Member, Membership
-from ..decisions.requests.quarantine import Quarantine, StrikeNotice
+from ..decisions.requests.quarantine import Quarantine
 from ..decisions.servers.owner_messages import Origin
+from ..model.crash import StrikeNotice
 from ..ports.peer import (
     DaemonStopped,
     Heartbeat,
--- a/src/snipemount/node/proof_gate.py
+++ b/src/snipemount/node/proof_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,6 +11,8 @@
     from ..decisions.requests.quarantine import Quarantine
     from .jobs import Job
 
+MAX_PROVEN_REQUESTS = 20_000
+
 
 @attrs.frozen
 class Admitted:
@@ -40,6 +43,9 @@
 class ProofGate:
     """Lets one request of each unproven fingerprint run at a time.
 
+    A request is proven once a server has answered it, and is then known not to crash
+    servers of that version.
+
     Parameters
     ----------
     quarantine : Quarantine
@@ -49,6 +55,7 @@
     def __init__(self, quarantine: Quarantine) -> None:
         self._quarantine = quarantine
         self._waiting: dict[str, list[Job]] = {}
+        self._proven: OrderedDict[str, None] = OrderedDict()
 
     def admit(
         self, job: Job, version: str, proving_servers: int, now_ms: float
@@ -70,7 +77,7 @@
         strikes_left = self._quarantine.strikes_until_quarantine(fingerprint, now_ms)
         if strikes_left == 0:
             return Quarantined()
-        if proving_servers == 0 or self._quarantine.is_proven(fingerprint, version):
+        if proving_servers == 0 or self.is_proven(fingerprint, version):
             return Admitted(0)
         waiting = self._waiting.get(fingerprint)
         if waiting is not None and not job.proving:
@@ -82,7 +89,13 @@
 
     def mark_proven(self, fingerprint: str, version: str) -> None:
         """Record that a server has answered a request with this fingerprint."""
-        self._quarantine.mark_proven(fingerprint, version)
+        self._proven[f"{fingerprint}/{version}"] = None
+        if len(self._proven) > MAX_PROVEN_REQUESTS:
+            self._proven.popitem(last=False)
+
+    def is_proven(self, fingerprint: str, version: str) -> bool:
+        """Return whether a server of a version has answered the request."""
+        return f"{fingerprint}/{version}" in self._proven
 
     def release(self, job: Job) -> list[Job]:
         """Return the requests that waited until this one was proven or has ended."""
--- a/src/snipemount/platform/leaf_client.py
+++ b/src/snipemount/platform/leaf_client.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..model.forwarding import NotRun, NotRunReason
-from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort
+from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort, ProbeResult
 from .leaf_connection import LeafConnection, LeafConnectionState
 from .pending_bytes import PendingBytes
 from .reading_pace import ReadingPace
@@ -142,24 +142,26 @@
             self._spawn(self._open_and_send(pool, attempt, leaf, request, time_left_ms))
         return attempt
 
-    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+    def probe(self, leaf: Leaf, done: Callable[[ProbeResult], None]) -> None:
         """Open a connection and keep it for later requests.
 
-        `done` gets whether the connection was accepted: a network that is cut may
-        refuse it.
+        A network that is cut may refuse it too.
         """
         self._spawn(self._probe(leaf, done))
 
-    async def _probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+    async def _probe(self, leaf: Leaf, done: Callable[[ProbeResult], None]) -> None:
         pool = self._pools[leaf.host, leaf.port]
         try:
             connection = await self._connect(pool, leaf)
+        except ConnectionRefusedError:
+            done(ProbeResult.REFUSED)
+            return
         except (OSError, TimeoutError):
-            done(False)
+            done(ProbeResult.NO_RESPONSE)
             return
         self.connections_opened += 1
         self._release(pool, connection)
-        done(True)
+        done(ProbeResult.ACCEPTED)
 
     def ensure_connection(self, leaf: Leaf) -> bool:
         """Open a connection if the pool has none, after closing expired idle ones.
@@ -275,7 +277,7 @@
             pool.idle.pop(0).close()
 
 
-def _discard_result(responded: bool) -> None:
+def _discard_result(result: ProbeResult) -> None:
     """Discard the result of a probe."""
 
 
--- a/src/snipemount/ports/leaf.py
+++ b/src/snipemount/ports/leaf.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -40,6 +41,14 @@
     notice: LeafNotice | None = None
 
 
+class ProbeResult(Enum):
+    """What became of a connection that was opened to learn whether a leaf runs."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # nobody listens at the address
+    NO_RESPONSE = "no_response"
+
+
 class AttemptHandle(ABC):
     """An attempt that is pending."""
 
@@ -90,8 +99,8 @@
         """
 
     @abstractmethod
-    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
-        """Open a connection; `done` is called with whether it was accepted."""
+    def probe(self, leaf: Leaf, done: Callable[[ProbeResult], None]) -> None:
+        """Open a connection; `done` is called with what became of it."""
 
     @abstractmethod
     def ensure_connection(self, leaf: Leaf) -> bool:
@@ -108,4 +117,4 @@
         """Close the idle connections to a leaf that must not be used any more."""
 
 
-__all__ = ["AttemptHandle", "AttemptReport", "LeafPort"]
+__all__ = ["AttemptHandle", "AttemptReport", "LeafPort", "ProbeResult"]
--- a/src/snipemount/ports/peer.py
+++ b/src/snipemount/ports/peer.py
@@ -8,7 +8,7 @@
 
 from ..decisions.fleet.membership import Member
 from ..decisions.moves.canary_analysis import EvidenceReport
-from ..decisions.requests.quarantine import StrikeNotice
+from ..model.crash import StrikeNotice
 from ..model.exchange import Exchange, ExchangeReply
 from .platform import Kind, StoredObject
 
--- a/src/snipemount/ports/platform.py
+++ b/src/snipemount/ports/platform.py
@@ -17,7 +17,8 @@
 
     `MEMBER` lists the daemons that exchange messages as peers; a `DAEMON` object is
     the entry under which an entry daemon registers itself. `DUTY_LEASE` holds who
-    performs each duty, `USAGE_COUNTS` what daemons have counted for organisations.
+    performs each duty, `USAGE_COUNTS` what daemons have counted for organisations,
+    `CRASH_REPORT` which requests leafs of a zone have crashed on.
 
     The last four are written by operators and leafs, and the platform uses names
     of its own for them in its paths.
@@ -33,6 +34,7 @@
     DAEMON = "daemons"
     DUTY_LEASE = "dutyleases"
     USAGE_COUNTS = "usagecounts"
+    CRASH_REPORT = "crashreports"
     CONFIGURATION = "configuration"
     LEAF = "leafs"
     VERSION_ORDER = "versionorders"
--- a/src/snipemount/ports/serving_metrics.py
+++ b/src/snipemount/ports/serving_metrics.py
@@ -44,6 +44,14 @@
     def admission(self, decision: str, rank: str) -> None:
         """Count a request that was queued or refused in an overload, by its rank."""
 
+    @abstractmethod
+    def lost_connection(self, cause: str) -> None:
+        """Count requests whose connection a leaf ended, by what a probe has shown."""
+
+    @abstractmethod
+    def quarantine(self, event: str) -> None:
+        """Count what happened to requests that crash leafs."""
+
     @abstractmethod
     def query_stages(self, stages: QueryStages) -> None:
         """Record how long the stages of a query over all shards took."""
@@ -76,6 +84,12 @@
     def admission(self, decision: str, rank: str) -> None:
         """Do nothing."""
 
+    def lost_connection(self, cause: str) -> None:
+        """Do nothing."""
+
+    def quarantine(self, event: str) -> None:
+        """Do nothing."""
+
     def query_stages(self, stages: QueryStages) -> None:
         """Do nothing."""
 
--- a/src/snipemount/serving/context.py
+++ b/src/snipemount/serving/context.py
@@ -13,8 +13,11 @@
 from ..decisions.requests.extra_attempts import ExtraAttemptBudget
 from ..model.forwarding import RefusalReason, RequestRefused
 from ..model.leaf_notice import SILENT_NOTICE
+from ..ports.leaf import ProbeResult
+from .crash_watch import CrashWatch
 from .leaf_limits import LeafLimits
 from .reserved_slots import leave_slots_free
+from .retry_after import MAX_RETRY_AFTER_MS, RETRY_AFTER_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -37,8 +40,6 @@
     from ..timers import TimerService
     from .overload_control import OverloadControl
 
-RETRY_AFTER_MS = 50.0
-MAX_RETRY_AFTER_MS = 60_000.0
 LEAFS_PER_PROBE = 4
 MIN_LOGGED_REST_MS = 500.0  # a leaf that sheds load may state less many times a second
 
@@ -110,6 +111,8 @@
         Monotonic time of the start.
     leaf_limits : LeafLimits
         Limits that leafs state.
+    crashes : CrashWatch
+        Requests that leafs crash on.
     running_legs : int
         Shards of the queries that run in this daemon.
     overload : OverloadControl or None
@@ -136,6 +139,7 @@
     budgets: dict[str, ExtraAttemptBudget] = attrs.field(factory=dict)
     started_ms: float = attrs.field(init=False)
     leaf_limits: LeafLimits = attrs.field(init=False)
+    crashes: CrashWatch = attrs.field(init=False)
     _daemons: dict[str, DaemonAddress] = attrs.field(factory=dict, init=False)
     running_legs: int = 0
     overload: OverloadControl | None = attrs.field(default=None, init=False)
@@ -144,6 +148,7 @@
         self.started_ms = self.timers.now_ms()
         self.limit_shares = LimitShares(self.own_name)
         self.leaf_limits = LeafLimits(self.directory, self, self.timers, self.logger)
+        self.crashes = CrashWatch(self)
 
     @property
     def daemon_count(self) -> int:
@@ -304,8 +309,9 @@
                 self._probe(state.leaf)
 
     def _probe(self, leaf: Leaf) -> None:
-        def done(responded: bool) -> None:
-            if responded:
+        def done(result: ProbeResult) -> None:
+            # A network that is cut may refuse connections.
+            if result is ProbeResult.ACCEPTED:
                 self.note_response(leaf)
 
         self.leafs.probe(leaf, done)
@@ -364,4 +370,4 @@
         return found
 
 
-__all__ = ["RETRY_AFTER_MS", "ServingContext"]
+__all__ = ["ServingContext"]
--- a/src/snipemount/serving/delegated_run.py
+++ b/src/snipemount/serving/delegated_run.py
@@ -35,6 +35,8 @@
 # How long after the answer was due a coordinator may stay silent.
 SILENCE_TIMEOUT_MS = 60.0
 RUNNING_PERIOD_MS = 100.0  # of the coordinator's messages that the query still runs
+# Other coordinators see the same leafs, and the same crashes of them.
+FINAL_REFUSALS = (RefusalReason.OVERLOADED, RefusalReason.QUARANTINED)
 HOPS_TO_CALLER = 2.0  # the answer passes this daemon's link twice
 
 
@@ -186,8 +188,7 @@
             if self._link is not None:
                 self._zones_without_leafs.add(self._link.daemon.zone)
             self._end_delegation(outcome.reason.value)
-            if outcome.reason is RefusalReason.OVERLOADED:
-                # Other coordinators see the same leafs.
+            if outcome.reason in FINAL_REFUSALS:
                 self._finish(outcome)
             else:
                 self._ask_next()
--- a/src/snipemount/serving/gateway.py
+++ b/src/snipemount/serving/gateway.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.query.answer_timing import LAG_FACTOR, RouteTiming
-from ..decisions.requests.route_table import RouteTable
 from ..identity.authenticator import Authenticator
 from ..model.configuration import CallerLimits, ToAllShards, ToService
 from ..model.forwarding import (
@@ -18,12 +17,13 @@
     UnknownRoute,
 )
 from ..model.identity import OfOrganisation, Unchecked
-from .context import RETRY_AFTER_MS
 from .counted_run import CountedRun
 from .delegated_run import DelegatedRequest, DelegatedRun
 from .gather_run import GatherRun
 from .overload_control import PendingStart
 from .request_log import EndedRequest
+from .retry_after import RETRY_AFTER_MS
+from .routes_in_force import RoutesInForce
 from .run import EndedRun, RunTerms
 from .single_run import SingleRun
 from .target_choice import TargetChoice, time_left_ms
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..decisions.requests.route_table import RouteTable
     from ..model.configuration import Configuration, Route, ServiceTraits
     from ..model.delegation import DelegatedQuery
     from ..model.forwarding import ForwardRequest, RequestOutcome
@@ -43,9 +44,6 @@
     Done = Callable[[RequestOutcome], None]
     StartableRun = GatherRun | SingleRun | DelegatedRun
 
-# A delegated query may run under the configuration before, so long after its end: the
-# other daemon gets the newer one within this time.
-PREVIOUS_CONFIGURATION_MS = 200.0
 NO_CONFIGURATION_RETRY_AFTER_MS = 500.0
 
 
@@ -83,10 +81,7 @@
         self.coordinators = coordinators
         self._log = log
         self._authenticator = Authenticator()
-        self._routes: RouteTable | None = None
-        self._previous_routes: RouteTable | None = None
-        self._previous_version = 0
-        self._replaced_ms = -math.inf
+        self._routes = RoutesInForce()
         self._targets = TargetChoice()
         self.configuration: Configuration | None = None
         self.last_request_ms = -math.inf
@@ -137,10 +132,10 @@
         if configuration.version <= self.version:
             return False
         self._authenticator.put_in_force(configuration.organisations)
-        self._previous_version, self._previous_routes = self.version, self._routes
-        self._replaced_ms = self._context.timers.now_ms()
+        self._routes.replace(
+            configuration.version, configuration.routes, self._context.timers.now_ms()
+        )
         self.configuration = configuration
-        self._routes = RouteTable(configuration.routes)
         self._targets.clear()
         self.shards = frozenset(
             shard
@@ -158,12 +153,13 @@
         Run
             Handle that cancels the request.
         """
-        if self._routes is None:
+        routes = self._routes.current
+        if routes is None:
             outcome = RequestRefused(
                 RefusalReason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_AFTER_MS
             )
             return self._end_immediately(request, outcome, done)
-        route = self._routes.find(request.host, request.path)
+        route = routes.find(request.host, request.path)
         if route is None:
             return self._end_immediately(request, UnknownRoute(), done)
         caller = self._authenticator.identify(route, request.api_key)
@@ -174,6 +170,9 @@
         self.last_request_ms = started_ms
         end_ms = started_ms + time_left_ms(route, request)
         target = self._targets.target(route)
+        held = self._context.crashes.refusal(request, target)
+        if held is not None:
+            return self._end_immediately(request, held, done, route, started_ms)
 
         def start(done: Done) -> Run:
             def make_run(done: Done) -> StartableRun:
@@ -229,15 +228,7 @@
         return self._routes_of(query.version) is not None
 
     def _routes_of(self, version: int) -> RouteTable | None:
-        if version == self.version:
-            return self._routes
-        replaced_for_ms = self._context.timers.now_ms() - self._replaced_ms
-        if (
-            version == self._previous_version
-            and replaced_for_ms <= PREVIOUS_CONFIGURATION_MS
-        ):
-            return self._previous_routes
-        return None
+        return self._routes.of_version(version, self._context.timers.now_ms())
 
     def submit_delegated(
         self,
@@ -289,6 +280,9 @@
 
         if any(query.earlier_attempts):
             return start(done)  # it may have run, so it must not be refused
+        held = self._context.crashes.refusal(request, target)
+        if held is not None:
+            return self._end_immediately(request, held, done, route, now_ms)
         return self._admit(route, target, request, end_ms, start, done)
 
     def _end_immediately(
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -71,6 +71,8 @@
             self._make_call(position, shard, request)
             for position, shard in enumerate(target.shards)
         ]
+        # Calls that only the quarantine keeps from a further attempt.
+        self._held: list[ServiceCall] = []
         self._wanted_further: list[int] = []
         self._next_check_ms = 0.0
         self._answer_due = False
@@ -94,6 +96,7 @@
             self._on_settled,
             earlier,
             request_further,
+            self._on_held,
         )
 
     def start(self) -> None:
@@ -188,14 +191,38 @@
             return False
         return not self._target.suffices(sum(call.may_succeed for call in self._calls))
 
+    def _on_held(self, call: ServiceCall) -> None:
+        """Let a call wait for an answer to another one, which clears the request."""
+        if call not in self._held:
+            self._held.append(call)
+        self._settle_if_all_held()
+
     def _on_settled(self, call: ServiceCall) -> None:
         self._unsettled -= 1
         if self._ended:
             return
         if self._unsettled == 0:
             self._finish(self._outcome(FailureReason.TOO_FEW_SHARDS))
-        elif self._answer_due:
+            return
+        if self._answer_due:
             self._answer_if_sufficient()
+        if self._held and call.answer is not None:
+            self._resume_held()
+        else:
+            self._settle_if_all_held()
+
+    def _resume_held(self) -> None:
+        held, self._held = self._held, []
+        for call in held:
+            call.resume()
+
+    def _settle_if_all_held(self) -> None:
+        """End the query if no answer can come any more that would clear it."""
+        if len(self._held) < self._unsettled:
+            return
+        held, self._held = self._held, []
+        for call in held:
+            call.settle_held()
 
     def _on_answer_due(self) -> None:
         context = self._context
@@ -241,6 +268,7 @@
         # Calls refer to the run: without this the parts of ended queries would stay in
         # memory until the garbage collector ran.
         self._calls = []
+        self._held = []
 
 
 __all__ = ["GatherRun"]
--- a/src/snipemount/serving/pending_attempt.py
+++ b/src/snipemount/serving/pending_attempt.py
@@ -23,6 +23,8 @@
         Number of the attempt in the leaf's state.
     sent_ms : float
         Monotonic time at which it was sent.
+    is_apart : bool
+        Whether others are kept from the leaf, as the request may crash it.
     handle : AttemptHandle or None
         Cancels it; None until the port has returned one.
     """
@@ -30,6 +32,7 @@
     state: LeafState
     number: int
     sent_ms: float
+    is_apart: bool = False
     handle: AttemptHandle | None = None
 
 
--- a/src/snipemount/serving/request_log.py
+++ b/src/snipemount/serving/request_log.py
@@ -9,6 +9,7 @@
 from ..model.forwarding import (
     Forwarded,
     Merged,
+    RefusalReason,
     RequestFailed,
     RequestRefused,
     Unauthorized,
@@ -140,6 +141,7 @@
             unanswered=" ".join(f"{item.service}[{item.attempts}]" for item in named),
             **_stage_fields(ended.stages),
             **_delegation_fields(ended),
+            **_quarantine_fields(ended),
         )
 
     def _may_write(self, now_ms: float) -> bool:
@@ -175,6 +177,14 @@
     return {name: value for name, value in fields.items() if value}
 
 
+def _quarantine_fields(ended: EndedRequest) -> dict[str, object]:
+    """Return what the lines about the crashes have in common with this one."""
+    match ended.outcome:
+        case RequestRefused(RefusalReason.QUARANTINED):
+            return {"fingerprint": ended.request.fingerprint}
+    return {}
+
+
 def result_text(outcome: RequestOutcome) -> str:
     """Return the outcome's name, with its detail after a colon if it has one."""
     match outcome:
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -11,14 +11,16 @@
     NotRun,
     NotRunReason,
     NoValidResponse,
+    NoValidResponseReason,
 )
 from .attempt_records import AttemptRecords
+from .call_budget import CallBudget
+from .leaf_selection import LeafSelection
 from .pending_attempt import PendingAttempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..decisions.leafs.leaf_state import LeafState
     from ..model.configuration import Route
     from ..model.forwarding import ForwardRequest
     from ..ports.leaf import AttemptReport
@@ -55,6 +57,9 @@
     request_further : Callable or None
         Asks for the permission that each attempt needs once one may have run; None if
         none is needed.
+    on_held : Callable or None
+        Called instead of settling when only the quarantine forbids a further attempt;
+        None to settle.
 
     Attributes
     ----------
@@ -80,7 +85,9 @@
         on_settled: Callable[[ServiceCall], None],
         earlier_attempts: int = 0,
         request_further: Callable[[], None] | None = None,
+        on_held: Callable[[ServiceCall], None] | None = None,
     ) -> None:
+        self._on_held = on_held
         self._context = context
         self.service = service
         self._route = route
@@ -88,7 +95,7 @@
         self._deadline_at_ms = deadline_at_ms
         self._on_settled = on_settled
         self._timing = context.timing(route)
-        self._tried_leafs: set[str] = set()
+        self._leafs = LeafSelection(context, service, route, request)
         self._pending: list[PendingAttempt] = []
         self._earlier_attempts = earlier_attempts
         self._possible_runs = earlier_attempts
@@ -96,7 +103,8 @@
         self._further_requested = False
         self._further_granted = 0
         self._possible_arrivals = 0
-        self._budget_taken = 0
+        free_attempts = 0 if earlier_attempts > 0 else 1
+        self._budget = CallBudget(context, service, free_attempts)
         self.settled = False
         self.answer: LeafAnswer | None = None
         self.failure: LeafAnswer | None = None
@@ -119,7 +127,7 @@
     @property
     def was_attempted(self) -> bool:
         """Whether any attempt was made."""
-        return bool(self._tried_leafs)
+        return bool(self._leafs.tried)
 
     def describe_attempts(self) -> str:
         """Return each attempt as leaf, result and duration in ms, or `no_leaf`."""
@@ -148,7 +156,7 @@
             return False
         if (
             self._possible_runs >= self._route.max_attempts
-            or not self._has_leaf_to_hedge()
+            or not self._leafs.has_other_to_hedge
         ):
             return False
         if self._awaits_permission():
@@ -169,6 +177,15 @@
         else:
             self._retry_or_settle()
 
+    def resume(self) -> None:
+        """Make the attempt that was held back, if the quarantine allows it now."""
+        self._retry_or_settle()
+
+    def settle_held(self) -> None:
+        """Settle without the attempt that is held back."""
+        if not self.settled:
+            self._settle()
+
     def _awaits_permission(self) -> bool:
         """Return whether the next attempt needs a further permission.
 
@@ -199,7 +216,7 @@
             not reachability.is_cut_off(attempt.state.leaf.zone)
             for attempt in self._pending
         )
-        return waiting or self._has_other_leaf()
+        return waiting or self._leafs.has_other
 
     @property
     def _unresponsive_after_ms(self) -> float:
@@ -212,58 +229,25 @@
         self.settled = True
         self._cancel_pending()
 
-    def _has_other_leaf(self) -> bool:
-        return self._has_untried(self._context.candidates(self.service))
-
-    def _has_leaf_to_hedge(self) -> bool:
-        return self._has_untried(self._leafs_to_hedge())
-
-    def _leafs_to_hedge(self) -> list[LeafState]:
-        """Return the leafs that may get a hedge: a limit is kept for first attempts."""
-        states = self._context.candidates(self.service)
-        return [state for state in states if state.limit is None]
-
-    def _leafs_to_ask(self) -> list[LeafState]:
-        if self._tried_leafs:
-            return self._context.candidates(self.service)
-        return self._context.first_leafs(self.service, self._route, self._request)
-
-    def _has_untried(self, states: list[LeafState]) -> bool:
-        now_ms = self._context.timers.now_ms()
-        return any(
-            state.leaf.leaf_id not in self._tried_leafs and not state.is_paused(now_ms)
-            for state in states
-        )
-
     def _take_budget(self, cause: str, share: float = 1.0) -> bool:
-        if self._possible_arrivals == 0 and self._earlier_attempts == 0:
-            return True
-        budget = self._context.budget(self.service)
-        now_ms = self._context.timers.now_ms()
-        granted = budget.try_spend(now_ms, share)
-        self._budget_taken += granted
-        self._context.metrics.extra_attempt(cause, granted)
-        return granted
+        return self._budget.take(cause, self._possible_arrivals, share)
 
     def _send_next_attempt(self, hedges: bool = False) -> bool:
         now_ms = self._context.timers.now_ms()
         left_ms = self._deadline_at_ms - now_ms
         if left_ms < 1.0 or self._possible_runs >= self._route.max_attempts:
             return False
-        states = self._leafs_to_hedge() if hedges else self._leafs_to_ask()
-        state = self._context.choice.pick(
-            states, self._tried_leafs, self._timing.typical_ms, now_ms
-        )
+        state = self._leafs.pick(self._timing.typical_ms, hedges)
         if state is None:
             return False
-        self._tried_leafs.add(state.leaf.leaf_id)
         self._possible_runs += 1
         self._possible_arrivals += 1
-        attempt = PendingAttempt(state, state.sent(now_ms), now_ms)
+        is_apart = self._context.crashes.begin_attempt(self._request, state.leaf)
+        attempt = PendingAttempt(state, state.sent(now_ms), now_ms, is_apart)
         self._pending.append(attempt)
         self.records.note_sent(now_ms)
         if state.limit is not None:
-            self._context.metrics.limited_attempt(len(self._tried_leafs) > 1)
+            self._context.metrics.limited_attempt(len(self._leafs.tried) > 1)
         attempt.handle = self._context.leafs.send(
             state.leaf,
             self._request,
@@ -276,6 +260,7 @@
         if attempt not in self._pending:
             return
         self._pending.remove(attempt)
+        self._end_apart(attempt)
         now_ms = self._context.timers.now_ms()
         self._record_attempt(attempt, report, now_ms)
         if is_response(report.outcome):
@@ -291,9 +276,24 @@
                 self._on_answer(attempt, answer, now_ms)
             case NotRun(reason):
                 self._on_not_run(attempt, reason, now_ms)
-            case NoValidResponse():
+            case NoValidResponse(reason):
                 attempt.state.lost(attempt.number, False, now_ms)
-                self._retry_or_settle()
+                self._on_lost(attempt, reason)
+
+    def _on_lost(self, attempt: PendingAttempt, reason: NoValidResponseReason) -> None:
+        """Retry, after it is known whether the request has crashed the leaf."""
+        if reason is not NoValidResponseReason.CONNECTION_CLOSED:
+            self._retry_or_settle()
+            return
+        self._context.crashes.note_lost(
+            self._request, attempt.state, self._retry_or_settle
+        )
+        if not self._may_retry():
+            self._retry_or_settle()
+
+    def _end_apart(self, attempt: PendingAttempt) -> None:
+        if attempt.is_apart:
+            self._context.crashes.end_attempt(attempt.state.leaf)
 
     def _record_attempt(
         self, attempt: PendingAttempt, report: AttemptReport, now_ms: float
@@ -305,6 +305,7 @@
     def _on_answer(
         self, attempt: PendingAttempt, answer: LeafAnswer, now_ms: float
     ) -> None:
+        self._context.crashes.note_answer(self._request, attempt.state.leaf)
         if answer.succeeded or answer.status < FIRST_SERVER_ERROR:
             attempt.state.answered(attempt.number, self._timing.typical_ms, now_ms)
             self._timing.add(attempt.state.leaf.zone, now_ms - attempt.sent_ms)
@@ -354,6 +355,9 @@
     def _retry_or_settle(self) -> None:
         if self.settled or self._pending:
             return
+        if self._may_retry() and self._on_held is not None and self._leafs.is_held:
+            self._on_held(self)
+            return
         if self._may_retry() and self._awaits_permission():
             self._request_permission()
             return
@@ -377,6 +381,7 @@
     def _cancel_pending(self) -> None:
         now_ms = self._context.timers.now_ms()
         for attempt in self._pending:
+            self._end_apart(attempt)
             attempt.state.cancelled(attempt.number, self._timing.typical_ms, now_ms)
             waited_ms = now_ms - attempt.sent_ms
             if waited_ms > self._timing.typical_ms:
@@ -386,15 +391,7 @@
             if attempt.handle is not None and not attempt.handle.cancel():
                 self._note_not_arrived(attempt)
         self._pending.clear()
-        self._return_unused_budget()
-
-    def _return_unused_budget(self) -> None:
-        """Return the budget of extra attempts that were never sent."""
-        free = 0 if self._earlier_attempts > 0 else 1
-        unused = self._budget_taken - max(0, self._possible_arrivals - free)
-        if unused > 0:
-            self._context.budget(self.service).refund(unused)
-            self._budget_taken -= unused
+        self._budget.return_unused(self._possible_arrivals)
 
 
 __all__ = ["ServiceCall"]
--- a/src/snipemount/serving/store_feed.py
+++ b/src/snipemount/serving/store_feed.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from ..decisions.fleet.state_age import CHECK_PERIOD_MS
+import attrs
+
+from ..decisions.fleet.state_age import CHECK_PERIOD_MS, CRASH_REPORT_AGES
 from ..model.relay import (
     RelayChange,
     RelayConfirmation,
@@ -20,6 +23,7 @@
 )
 from ..ports.platform import Failed, Kind, Listed
 from .configuration_exchange import ConfigurationExchange
+from .crash_reports import CrashReports
 from .kind_feed import KindFeed
 from .leaf_evidence import LeafEvidence
 from .registration import REGISTRY_PERIOD_MS, Registration, registered_daemon
@@ -31,6 +35,7 @@
     VersionSubscriber,
     ZoneSubscriber,
 )
+from .stored_crash_reports import StoredCrashReports
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +58,7 @@
 # The daemons of a deployment start together; this lets all register before any lists.
 FIRST_DISCOVERY_DELAY_MS = 600.0
 FAILED_DISCOVERY_DELAY_MS = 2000.0
+FOLLOW_CRASHES_DELAY_MS = 1500.0
 MAX_STATED_AGE_MS = 3_600_000.0  # of a state that was never confirmed, too
 
 
@@ -152,12 +158,31 @@
             for kind, subscriber in subscribers.items()
         }
         self._evidence = LeafEvidence(context)
+        self._crashes = CrashReports(context.crashes, context.timers)
+        self._stored_crashes = StoredCrashReports(
+            platform, own.zone, context.timers, self._crashes, logger
+        )
+        self._crash_feed = KindFeed(
+            platform,
+            Kind.CRASH_REPORT,
+            self._stored_crashes,
+            context.timers,
+            random,
+            _discard,
+            logger,
+            CRASH_REPORT_AGES,
+            True,
+            retries,
+        )
+        self._told_since_ms: float | None = None
+        self._follow_crashes_ms = -math.inf
+        self._store_has_answered = False  # since a daemon was followed
         self._following = RelayFollowing(
             relay,
             self._kinds,
             own,
             context.timers,
-            self._evidence.add_reported,
+            self._on_relayed_evidence,
             retries,
             logger,
         )
@@ -222,6 +247,9 @@
             messages.append(kind.listing())
             age_ms = min(MAX_STATED_AGE_MS, kind.age_ms)
             messages.append(RelayConfirmation(kind.kind, kind.version, age_ms))
+        crashes = self._crashes.standing()
+        if crashes:
+            messages.append(RelayEvidence((), (), crashes))
         return messages + lost
 
     def on_follower_message(self, message: FollowerMessage) -> None:
@@ -230,6 +258,7 @@
             case RelayEvidence():
                 self._evidence.add_reported(message)
                 self._evidence.forward(message)
+                self._crashes.learn(message.crashes, forwards=self.followed is None)
             case RelayUsage() if self.on_usage is not None:
                 self.on_usage(message)
 
@@ -239,8 +268,16 @@
         self._kinds[Kind.CONFIGURATION].apply(change)
         self._publish(change)
 
+    def _on_relayed_evidence(self, evidence: RelayEvidence) -> None:
+        self._evidence.add_reported(evidence)
+        self._crashes.learn(evidence.crashes, forwards=False)
+
     def _send_evidence(self) -> None:
+        self._keep_crash_reports()
         evidence = self._evidence.take_unreported()
+        crashes = self._crashes.take_untold()
+        if crashes:
+            evidence = attrs.evolve(evidence or RelayEvidence(()), crashes=crashes)
         if evidence is None:
             return
         if self.followed is None:
@@ -248,7 +285,30 @@
         else:
             self._relay.report(evidence)
 
+    def _keep_crash_reports(self) -> None:
+        """Follow and write what the store holds on crashes, where it is followed.
+
+        A daemon that has followed another one knows the crashes, and may soon follow
+        the next one: it waits.
+        """
+        now_ms = self._context.timers.now_ms()
+        since_ms = self.followed_since_ms
+        if since_ms is not None:
+            self._crash_feed.follow_relay()
+            if since_ms != self._told_since_ms:
+                self._crashes.retell()
+            self._follow_crashes_ms = now_ms + FOLLOW_CRASHES_DELAY_MS
+            self._store_has_answered = False
+        elif self._store_has_answered and now_ms >= self._follow_crashes_ms:
+            self._crash_feed.follow_store()
+            self._crash_feed.restart_if_silent()
+            self._stored_crashes.save_if_changed()
+        self._told_since_ms = since_ms
+
     def _publish(self, message: RelayMessage) -> None:
+        if isinstance(message, RelayConfirmation) and self.followed is None:
+            self._store_has_answered = True
+            self._keep_crash_reports()
         if self.followed is None:
             self._relay.publish(message)
 
@@ -300,4 +360,8 @@
         return tuple(daemons)
 
 
+def _discard(update: RelayMessage) -> None:
+    """Do nothing: followers learn of crashes from the evidence that is relayed."""
+
+
 __all__ = ["StoreFeed"]
--- a/src/snipemount/standins/modelled_vm.py
+++ b/src/snipemount/standins/modelled_vm.py
@@ -11,7 +11,7 @@
 
     from ..model.forwarding import ForwardRequest
     from ..model.leaf import Leaf
-    from ..ports.leaf import AttemptReport
+    from ..ports.leaf import AttemptReport, ProbeResult
     from ..timers import TimerService
 
 # Processor time of an attempt on one core, as in docs/CAPACITY.md.
@@ -131,7 +131,7 @@
         self._vm.process(SEND_CORE_MS, start)
         return attempt
 
-    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
+    def probe(self, leaf: Leaf, done: Callable[[ProbeResult], None]) -> None:
         """Probe through the inner port."""
         self._inner.probe(leaf, done)
 
--- a/src/snipemount/standins/scripted_leafs.py
+++ b/src/snipemount/standins/scripted_leafs.py
@@ -15,7 +15,7 @@
     NoValidResponseReason,
 )
 from ..model.leaf_notice import SILENT_NOTICE
-from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort
+from ..ports.leaf import AttemptHandle, AttemptReport, LeafPort, ProbeResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -159,14 +159,16 @@
         report = self._report(leaf, script)
         return self._report_later(start_ms + script.work_ms, leaf, done, report)
 
-    def probe(self, leaf: Leaf, done: Callable[[bool], None]) -> None:
-        """Call `done` with whether the leaf responds."""
+    def probe(self, leaf: Leaf, done: Callable[[ProbeResult], None]) -> None:
+        """Call `done` with whether the leaf accepts a connection."""
         script = self.scripts[leaf.leaf_id]
         self.probes += 1
-        alive = not (
-            script.unreachable or script.unresponsive or script.refuses_connections
-        )
-        self._timers.call_later(1.0, lambda: done(alive))
+        result = ProbeResult.ACCEPTED
+        if script.unreachable or script.unresponsive:
+            result = ProbeResult.NO_RESPONSE
+        elif script.refuses_connections:
+            result = ProbeResult.REFUSED
+        self._timers.call_later(1.0, lambda: done(result))
 
     def ensure_connection(self, leaf: Leaf) -> bool:
         """Record a connection to a leaf; return whether it is the first."""
--- a/tests/serving/store_feed.feature
+++ b/tests/serving/store_feed.feature
@@ -6,7 +6,7 @@
     And the operators write version 7
     And 0.1 s pass for them
     Then all daemons have version 7 in force
-    And 8 watches are open at the store
+    And 10 watches are open at the store
 
   Scenario: Followers stay when one call of the daemon that they follow fails
     Given 6 daemons in 2 zones, fed by one store
@@ -25,7 +25,7 @@
     And 1.5 s pass for them
     Then at most 4 watches were opened for each kind that changes often, and 1 for others
     When 5 s pass for them
-    Then 8 watches are open at the store
+    Then 10 watches are open at the store
 
   Scenario: The daemon that is followed is killed
     Given 6 daemons in 2 zones, fed by one store
@@ -258,7 +258,7 @@
     And 0.05 s pass for them
     Then all daemons have version 1 in force
     When 12 s pass for them
-    Then 8 watches are open at the store
+    Then 10 watches are open at the store
 
   Scenario: A restarted daemon whose address has changed is registered with the new one
     Given 6 daemons in 2 zones, fed by one store
--- a/tests/steps/codec_steps.py
+++ b/tests/steps/codec_steps.py
@@ -15,10 +15,10 @@
 from snipemount.adapters.leg_codec import decode_answer, encode_answer, encode_exchange
 from snipemount.adapters.mesh_codec import FrameEncoder, decode_frame
 from snipemount.decisions.fleet.membership import Member
-from snipemount.decisions.requests.quarantine import StrikeNotice
 from snipemount.decisions.servers.owner_messages import Answered
 from snipemount.errors import DecodeError, RequestError
 from snipemount.model.catalogue import ServiceRecord
+from snipemount.model.crash import StrikeNotice
 from snipemount.model.exchange import (
     Attempt,
     Exchange,
--- a/tests/steps/endless_steps.py
+++ b/tests/steps/endless_steps.py
@@ -93,14 +93,15 @@
         self._leafs: list[LeafStandin] = []
         self._endless: subprocess.Popen[bytes] | None = None
         self._runner: web.AppRunner | None = None
+        self._store_port = 0
 
     async def start(self) -> None:
         """Start everything, and wait until the daemon is ready."""
         app = PlatformStandin(self._store).make_app()
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        port = free_port()
-        await web.TCPSite(self._runner, LOOPBACK, port).start()
+        self._store_port = free_port()
+        await web.TCPSite(self._runner, LOOPBACK, self._store_port).start()
         spec = configuration_spec(1, ROUTES, HOST)
         self._store.put(Kind.CONFIGURATION, "main", spec)
         for service in (SOUND, *SHARDS):
@@ -110,15 +111,17 @@
                 self._leafs.append(leaf)
         faulty = [self._put_leaf(FAULTY, n) for n in range(LEAFS_PER_SERVICE)]
         await self._start_faulty([leaf.port for leaf in faulty])
-        daemon = self.daemon
-        text = node_file(
-            daemon.name, daemon.zone, daemon.ip, f"{LOOPBACK}:{port}", [], daemon.size
-        )
+        await self._start_daemon(self.daemon)
+
+    async def _start_daemon(self, daemon: DaemonProcess) -> None:
+        """Write a daemon's settings, start it and wait until it is ready."""
+        store = f"{LOOPBACK}:{self._store_port}"
+        text = node_file(daemon.name, daemon.zone, daemon.ip, store, [], daemon.size)
         path = Path(self._folder.name) / f"{daemon.name}.conf"
         path.write_text(text + self._more_settings, encoding="utf-8")
         daemon.start()
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await self._is_ready():
+            while not await self._is_ready(daemon):
                 await asyncio.sleep(0.05)
 
     async def _start_faulty(self, ports: list[int]) -> None:
@@ -141,8 +144,8 @@
         self._store.put(Kind.LEAF, leaf.leaf_id, leaf.entry())
         return leaf
 
-    async def _is_ready(self) -> bool:
-        url = f"http://{self.daemon.ip}:{READINESS_PORT}/"
+    async def _is_ready(self, daemon: DaemonProcess) -> bool:
+        url = f"http://{daemon.ip}:{READINESS_PORT}/"
         try:
             async with aiohttp.ClientSession() as client, client.get(url) as response:
                 return response.status == 200
--- a/tests/steps/feed_call_steps.py
+++ b/tests/steps/feed_call_steps.py
@@ -24,7 +24,7 @@
     """End a daemon's process: its connections end and it calls nobody any more."""
     daemon.relay.kill()
     daemon.platform.cut_off = True
-    for kind in daemon.feed._kinds.values():
+    for kind in (*daemon.feed._kinds.values(), daemon.feed._crash_feed):
         kind.follow_relay()
 
 
--- a/tests/steps/feed_steps.py
+++ b/tests/steps/feed_steps.py
@@ -61,7 +61,7 @@
 
 def add_daemon(context, number, zone, seeds=(), first_start=True, host=""):
     """Start a daemon whose feed uses the shared store and relays."""
-    world = ServingWorld(zone=zone, timers=context.timers)
+    world = ServingWorld(zone=zone, timers=context.timers, leafs=context.shared_leafs)
     world.serving_context.limit_shares = LimitShares(world.serving_context.own_name)
     host = host or f"10.0.0.{number}"
     address = DaemonAddress(f"daemon-{number}", zone, host, 1)
@@ -113,13 +113,17 @@
     feed_daemons(context, count, zones, StateAgeLimits.for_bound(bound_ms))
 
 
-def feed_daemons(context, count, zones, changing_often):
-    """Start daemons that all use one store and know how old its state may become."""
+def feed_daemons(context, count, zones, changing_often, make_leafs=None):
+    """Start daemons that all use one store and know how old its state may become.
+
+    `make_leafs` makes the port to leafs that they share; each has its own without it.
+    """
     context.age_limits = dict.fromkeys(Kind, StateAgeLimits())
     for kind in (Kind.CONFIGURATION, Kind.LEAF):
         context.age_limits[kind] = changing_often
     world = ServingWorld()
     context.timers = world.timers
+    context.shared_leafs = make_leafs(world.timers) if make_leafs else None
     context.store = ObjectStore()
     context.faults = PlatformFaults()
     context.relays = LocalRelayNetwork(context.timers)
@@ -190,7 +194,7 @@
     followed = followed_in(context, zone)
     followed.relay.kill()
     followed.platform.cut_off = True
-    for kind in followed.feed._kinds.values():
+    for kind in (*followed.feed._kinds.values(), followed.feed._crash_feed):
         kind.follow_relay()
 
 
