--- a/src/snipemount/decisions/requests/quarantine.py
+++ b/src/snipemount/decisions/requests/quarantine.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -25,6 +24,9 @@
 # After the last strike; twice as long after each further one.
 QUARANTINE_MS = 600_000.0
 MAX_DOUBLINGS = 6
+# Strikes within this time may come from one event, such as the loss of a whole
+# service, with the request there by chance.
+ONE_EVENT_MS = 1000.0
 FORGET_MS = 2.0 * QUARANTINE_MS  # after the end of the quarantine
 TRY_PERIOD_MS = 30_000.0  # between two tries without a result
 MAX_REMEMBERED_REQUESTS = 500
@@ -63,6 +65,8 @@
         Servers that may be lost to a request before it is held back.
     proof_ms : float
         How long an answer speaks for a request, against strikes that come after it.
+    one_event_ms : float
+        How long a request is held back whose strikes may come from one event.
     try_delay_ms : Callable
         Returns how long this daemon waits with a try, by fingerprint, so that only
         one daemon makes it.
@@ -72,10 +76,12 @@
         self,
         max_strikes: int = SERVERS_LOST_TO_QUARANTINE,
         proof_ms: float = 0.0,
+        one_event_ms: float = QUARANTINE_MS,
         try_delay_ms: Callable[[str], float] = _no_delay,
     ) -> None:
         self._max_strikes = max_strikes
         self._proof_ms = proof_ms
+        self._one_event_ms = one_event_ms
         self._try_delay_ms = try_delay_ms
         self._requests: dict[str, RequestStrikes] = {}
         self._answered: OrderedDict[str, AnsweredRequest] = OrderedDict()
@@ -151,11 +157,14 @@
             return Permission.HOLD
         return Permission.TRY
 
-    def begin_try(self, fingerprint: str, software: str, now_ms: float) -> None:
-        """Record that a request is tried; until the result is known it is held back."""
+    def begin_try(self, fingerprint: str, now_ms: float) -> None:
+        """Record that a request is tried at one server.
+
+        Until the result is known it is held back from all others.
+        """
         request = self._requests.get(fingerprint)
         if request is not None:
-            request.tries[software] = now_ms
+            request.tried_ms = now_ms
 
     def ms_until_try(self, fingerprint: str, software: str, now_ms: float) -> float:
         """Return how long a request is still held back; 0 if it may be tried."""
@@ -246,21 +255,24 @@
         """
         here_ms = [s.at_ms for s in strikes if s.notice.software == software]
         if here_ms:
-            end_ms = max(here_ms) + self._quarantine_ms(len(strikes))
+            end_ms = max(here_ms) + self._quarantine_ms(strikes)
         else:
             end_ms = request.first_seen.setdefault(software, now_ms)
-        tried_ms = request.tries.get(software, -math.inf)
-        return max(end_ms, tried_ms + TRY_PERIOD_MS) - now_ms
-
-    def _quarantine_ms(self, strikes: int) -> float:
-        doublings = max(0, min(MAX_DOUBLINGS, strikes - self._max_strikes))
+        return max(end_ms, request.tried_ms + TRY_PERIOD_MS) - now_ms
+
+    def _quarantine_ms(self, strikes: list[Strike]) -> float:
+        """Return how long a request is held back after these strikes."""
+        times_ms = [strike.at_ms for strike in strikes]
+        if max(times_ms) - min(times_ms) < ONE_EVENT_MS:
+            return self._one_event_ms
+        doublings = max(0, min(MAX_DOUBLINGS, len(strikes) - self._max_strikes))
         return QUARANTINE_MS * 2.0**doublings
 
     def _find(self, fingerprint: str, now_ms: float) -> RequestStrikes | None:
         request = self._requests.get(fingerprint)
         if request is None:
             return None
-        strikes = len(request.strikes)
+        strikes = list(request.strikes.values())
         end_ms = request.last_ms + self._quarantine_ms(strikes) + FORGET_MS
         if now_ms > end_ms:
             del self._requests[fingerprint]
--- a/src/snipemount/decisions/requests/request_strikes.py
+++ b/src/snipemount/decisions/requests/request_strikes.py
@@ -35,8 +35,8 @@
         Time of the last answer of any software.
     answered_by : str
         Software that answered first since the last strike; empty if none has.
-    tries : dict of str to float
-        Time of the last try on each software.
+    tried_ms : float
+        Time of the last try.
     first_seen : dict of str to float
         When each software was first available that no strike names.
     refused_strikes : int
@@ -47,7 +47,7 @@
     answers: dict[str, float] = attrs.field(factory=dict)
     answered_ms: float = -math.inf
     answered_by: str = ""
-    tries: dict[str, float] = attrs.field(factory=dict)
+    tried_ms: float = -math.inf
     first_seen: dict[str, float] = attrs.field(factory=dict)
     refused_strikes: int = 0
 
--- a/src/snipemount/serving/crash_watch.py
+++ b/src/snipemount/serving/crash_watch.py
@@ -25,6 +25,7 @@
 
 MAX_CRASHES = 3  # of leafs that run a request, until it is held back
 ANSWER_SPEAKS_MS = 10_000.0  # against crashes that come after the answer
+ONE_EVENT_HOLD_MS = 10_000.0  # if all crashes came at the same moment
 # For a probe to show whether the leaf has crashed; then the request is sent again.
 MAX_VERDICT_WAIT_MS = 20.0
 # Between the tries of two daemons: a crash is known to all of them in this time.
@@ -80,7 +81,9 @@
 
     def __init__(self, context: ServingContext) -> None:
         self._context = context
-        self.quarantine = Quarantine(MAX_CRASHES, ANSWER_SPEAKS_MS, self._try_delay_ms)
+        self.quarantine = Quarantine(
+            MAX_CRASHES, ANSWER_SPEAKS_MS, ONE_EVENT_HOLD_MS, self._try_delay_ms
+        )
         self.on_strike: Callable[[StrikeNotice], None] = _ignore
         self.on_answer: Callable[[ReportedAnswer], None] = _ignore
         self._lost: dict[tuple[str, float], list[LostRequest]] = {}
@@ -225,7 +228,7 @@
         fingerprint, now_ms = request.fingerprint, self._context.timers.now_ms()
         permission = self.quarantine.permission(fingerprint, leaf.software, now_ms)
         if permission is Permission.TRY:
-            self.quarantine.begin_try(fingerprint, leaf.software, now_ms)
+            self.quarantine.begin_try(fingerprint, now_ms)
             self._context.metrics.quarantine("try")
             self._context.logger.info(
                 "request_tried",
--- a/src/snipemount/serving/gather_run.py
+++ b/src/snipemount/serving/gather_run.py
@@ -73,6 +73,7 @@
         ]
         # Calls that only the quarantine keeps from a further attempt.
         self._held: list[ServiceCall] = []
+        self._has_tried = False  # one of them, as all were held
         self._wanted_further: list[int] = []
         self._next_check_ms = 0.0
         self._answer_due = False
@@ -217,9 +218,17 @@
             call.resume()
 
     def _settle_if_all_held(self) -> None:
-        """End the query if no answer can come any more that would clear it."""
+        """End the query if nothing else is awaited; try one call if none was answered.
+
+        All leafs that were asked may have crashed for another reason. An answer
+        clears the query, and a try costs one leaf at most.
+        """
         if len(self._held) < self._unsettled:
             return
+        if not self._has_tried and not self._answers():
+            self._has_tried = True
+            self._held.pop().try_held()
+            return
         held, self._held = self._held, []
         for call in held:
             call.settle_held()
--- a/src/snipemount/serving/leaf_selection.py
+++ b/src/snipemount/serving/leaf_selection.py
@@ -29,6 +29,8 @@
     ----------
     tried : set of str
         Ids of the leafs that were picked.
+    ignores_hold : bool
+        Whether the next leaf is picked as if no leaf had crashed on the request.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self._route = route
         self._request = request
         self.tried: set[str] = set()
+        self.ignores_hold = False
 
     def pick(self, typical_ms: float, hedges: bool) -> LeafState | None:
         """Return the leaf for the next attempt; None if there is none.
@@ -59,6 +62,7 @@
         states = context.crashes.keep_apart(self._request, states)
         now_ms = context.timers.now_ms()
         state = context.choice.pick(states, self.tried, typical_ms, now_ms)
+        self.ignores_hold = False
         if state is not None:
             self.tried.add(state.leaf.leaf_id)
         return state
@@ -77,14 +81,19 @@
     def is_held(self) -> bool:
         """Whether leafs could be asked, and the quarantine forbids them all."""
         states = self._untried(self._context.candidates(self._service))
-        return bool(states) and not self._context.crashes.allowed(self._request, states)
+        return bool(states) and not self._allowed(states)
 
     def _leafs(self) -> list[LeafState]:
         if self.tried:
             return self._candidates()
         context = self._context
         states = context.first_leafs(self._service, self._route, self._request)
-        return context.crashes.allowed(self._request, states)
+        return self._allowed(states)
+
+    def _allowed(self, states: list[LeafState]) -> list[LeafState]:
+        if self.ignores_hold:
+            return states
+        return self._context.crashes.allowed(self._request, states)
 
     def _leafs_to_hedge(self) -> list[LeafState]:
         """Return the leafs that may get a hedge.
@@ -97,8 +106,7 @@
         return [state for state in self._candidates() if state.limit is None]
 
     def _candidates(self) -> list[LeafState]:
-        states = self._context.candidates(self._service)
-        return self._context.crashes.allowed(self._request, states)
+        return self._allowed(self._context.candidates(self._service))
 
     def _untried(self, states: list[LeafState]) -> list[LeafState]:
         if not self.tried:
--- a/src/snipemount/serving/service_call.py
+++ b/src/snipemount/serving/service_call.py
@@ -9,12 +9,12 @@
     NOT_ARRIVED_REASONS,
     LeafAnswer,
     NotRun,
-    NotRunReason,
     NoValidResponse,
     NoValidResponseReason,
 )
 from .attempt_records import AttemptRecords
 from .call_budget import CallBudget
+from .leaf_refusals import note_not_run
 from .leaf_selection import LeafSelection
 from .pending_attempt import PendingAttempt
 
@@ -22,7 +22,7 @@
     from collections.abc import Callable
 
     from ..model.configuration import Route, ToAllShards, ToService
-    from ..model.forwarding import ForwardRequest, RequestRefused
+    from ..model.forwarding import ForwardRequest, NotRunReason, RequestRefused
     from ..ports.leaf import AttemptReport
     from .context import ServingContext
 
@@ -139,7 +139,7 @@
                 self._settle()
             return
         self._context.budget(self.service).add_request(self._context.timers.now_ms())
-        if not self._send_next_attempt():
+        if not self._send_next_attempt() and not self._hold():
             self._settle()
 
     def hedge(self) -> bool:
@@ -184,6 +184,11 @@
         """Make the attempt that was held back, if the quarantine allows it now."""
         self._retry_or_settle()
 
+    def try_held(self) -> None:
+        """Make the attempt that was held back, though the leaf may crash."""
+        self._leafs.ignores_hold = True
+        self._retry_or_settle()
+
     def settle_held(self) -> None:
         """Settle without the attempt that is held back."""
         if not self.settled:
@@ -326,29 +331,8 @@
         self._possible_runs -= 1
         if reason in NOT_ARRIVED_REASONS:
             self._note_not_arrived(attempt)
-        match reason:
-            case NotRunReason.UNREACHABLE:
-                attempt.state.lost(attempt.number, True, now_ms)
-                self._context.note_unresponsive(attempt.state.leaf)
-            case NotRunReason.CONNECTION_REFUSED:
-                attempt.state.lost(attempt.number, True, now_ms)
-                self._context.note_refused_connection(attempt.state.leaf)
-            case NotRunReason.NO_CONNECTION:
-                attempt.state.refused(attempt.number, now_ms)
-            case NotRunReason.REFUSED:
-                attempt.state.refused(attempt.number, now_ms)
-            case NotRunReason.OTHER_LEAF:
-                attempt.state.lost(attempt.number, True, now_ms)
-                self._context.directory.mark_address_reused(
-                    attempt.state.leaf.leaf_id, now_ms
-                )
-                self._context.leafs.close_idle(attempt.state.leaf)
-                self._context.logger.info(
-                    "leaf_elsewhere",
-                    leaf=attempt.state.leaf.leaf_id,
-                    service=self.service,
-                    request=self._request.request_id,
-                )
+        request_id = self._request.request_id
+        note_not_run(self._context, attempt, reason, request_id, now_ms)
         self._retry_or_settle()
 
     def _note_not_arrived(self, attempt: PendingAttempt) -> None:
@@ -358,8 +342,7 @@
     def _retry_or_settle(self) -> None:
         if self.settled or self._pending:
             return
-        if self._may_retry() and self._on_held is not None and self._leafs.is_held:
-            self._on_held(self)
+        if self._hold():
             return
         if self._may_retry() and self._awaits_permission():
             self._request_permission()
@@ -371,6 +354,13 @@
         ):
             self._settle()
 
+    def _hold(self) -> bool:
+        """Wait, if only the quarantine forbids the next attempt; return whether."""
+        if self._on_held is None or not self._may_retry() or not self._leafs.is_held:
+            return False
+        self._on_held(self)
+        return True
+
     def _may_retry(self) -> bool:
         if self._possible_runs >= self._route.max_attempts:
             return False
--- a/tests/serving/crashing_requests.feature
+++ b/tests/serving/crashing_requests.feature
@@ -90,6 +90,15 @@
     And 1 s passes there
     Then each other query was answered by all shards that have a leaf
 
+  # Nothing has answered the query when all that it has asked is gone.
+  Scenario: All leafs of one zone crash under a query
+    Given a service of seven leafs, which a poisonous request crashes
+    And others post equal requests on route find, each 20 ms
+    When 20 s pass there
+    And a query is posted, and the first leaf of each of 20 shards crashes 2 ms later
+    And 1 s passes there
+    Then each other query was answered by all shards that have a leaf
+
   # Resets, lost answers and planned ends look the same to one connection.
   Scenario Outline: What only looks like a crash: <what>
     Given a service of seven leafs, which a poisonous request crashes
@@ -108,6 +117,23 @@
     And the poison is posted 4 times on route look, 2 s apart
     Then 4 leafs have crashed
 
+  Scenario: A query is tried again after a time, at one leaf
+    Given a service of seven leafs, which a poisonous request crashes
+    When the poison is posted 8 times on route find, 4 s apart
+    Then at most 24 leafs have crashed
+    When 602 s pass there
+    And the poison is posted 4 times on route find, 4 s apart
+    Then at most 25 leafs have crashed
+
+  # It was held back by the loss of a whole service, and crashes nothing.
+  Scenario: A query that was lost with all leafs of all shards
+    Given a service of seven leafs, which a poisonous request crashes
+    When a query is posted, and the first leaf of each of 20 shards crashes 2 ms later
+    And the first leaf of each of 20 shards crashes
+    And 12 s pass there
+    And a query is posted
+    Then the last query was answered by all shards
+
   Scenario: It is tried again with a new version of the service
     Given a service of seven leafs, which a poisonous request crashes
     When the poison is posted 4 times on route look, 2 s apart
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -77,6 +77,18 @@
     step_crash_shards(context, count)
 
 
+@when("a query is posted")
+def step_query(context):
+    context.crash.post("find", b"first")
+    context.crash.run_for(1000.0)
+
+
+@then("the last query was answered by all shards")
+def step_last_query(context):
+    outcome = context.crash.samples[-1].outcome
+    assert isinstance(outcome, Merged) and outcome.missing == 0, outcome
+
+
 @when("{what} ends the connections of a request {times:d} times")
 def step_end_connections(context, what, times):
     world = context.crash
