--- a/review/bed_3.py
+++ b/review/bed_3.py
@@ -514,7 +514,9 @@
 
     def __str__(self) -> str:
         whole = "whole" if self.is_whole else "not whole"
-        return f"{self.status or 'no answer'}, {len(self.body)} bytes, {whole} {self.end}"
+        return (
+            f"{self.status or 'no answer'}, {len(self.body)} bytes, {whole} {self.end}"
+        )
 
 
 def encode(
